--- a/cressrouter/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""cressrouter: call routing and overload control for edge proxies."""
--- /dev/null
+++ b/reedmount/__init__.py
@@ -0,0 +1,1 @@
+"""reedmount: call routing and overload control for edge proxies."""
--- a/cressrouter/control.py
+++ b/reedmount/control.py
@@ -1,4 +1,4 @@
-"""Every decision of a cressrouter edge proxy. Its types, events and actions: cressrouter/interface.py.
+"""Every decision of a reedmount edge proxy. Its types, events and actions: reedmount/interface.py.
 
 Read it top to bottom: the tuned values, what is remembered of a server and of a call, then the controller:
 events in, the flag, the window, the cold guard, the route, holding and shedding, deadlines.
@@ -10,7 +10,7 @@
 import random
 from dataclasses import dataclass, field
 
-from cressrouter import interface as i
+from reedmount import interface as i
 
 # Tuned values. Times derive from the site's resend gap wherever it has one.
 HIGH_MARK = 0.8  # of the resend gap: a wait above it raises the flag before most repeats are sent
--- a/cressrouter/simhost.py
+++ b/reedmount/simhost.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TextIO, TypeVar
 
-from cressrouter import interface as i
-from cressrouter.control import Controller
+from reedmount import interface as i
+from reedmount.control import Controller
 
 T = TypeVar("T")
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from cressrouter import interface as i
-from cressrouter.control import Controller
+from reedmount import interface as i
+from reedmount.control import Controller
 
 MS = 1_000
 S = 1_000_000
--- a/tests/test_cold_guard.py
+++ b/tests/test_cold_guard.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from cressrouter import interface as i
+from reedmount import interface as i
 from tests.support import MS, SETTINGS, T0, Bench, S, pool
 
 TRAINED_US = 8 * S
--- a/tests/test_flag_and_route.py
+++ b/tests/test_flag_and_route.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cressrouter import interface as i
+from reedmount import interface as i
 from tests.support import MS, NO_REPORT, S, with_pool
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cressrouter import interface as i
+from reedmount import interface as i
 from tests.support import MS, SETTINGS, T0, Bench, S, entry, pool, with_pool
 
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from cressrouter import interface as i
+from reedmount import interface as i
 from tests.support import MS, SETTINGS, Bench, S, entry, pool, with_pool
 
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from cressrouter import simhost
-from cressrouter.control import Controller
+from reedmount import simhost
+from reedmount.control import Controller
 
 OPTIONS = [
     "balancers=4", "self_index=1", "classes.count=1", "classes.0.name=plain", "classes.0.worth=1.0",
@@ -91,7 +91,7 @@
 
 def test_the_process_prints_one_plain_line_and_fails() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "cressrouter.simhost"], input=b"MARK\t1\nnonsense\n", capture_output=True
+        [sys.executable, "-m", "reedmount.simhost"], input=b"MARK\t1\nnonsense\n", capture_output=True
     )
     assert done.returncode != 0
     assert done.stderr.decode().count("\n") == 1 and "Traceback" not in done.stderr.decode()
