--- /dev/null
+++ b/reedmount/core/checks.py
@@ -0,0 +1,46 @@
+"""What must hold, and the counters: asserted in debug builds, counted in release builds (``python -O``)."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+
+
+class Counters:
+    """What was taken in, sent and answered, by name; printed on request and at exit."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+
+    def add(self, name: str, by: int = 1) -> None:
+        """Count something."""
+        self._counts[name] += by
+
+    def __getitem__(self, name: str) -> int:
+        """One count."""
+        return self._counts[name]
+
+    def text(self) -> str:
+        """All counters in one line, in the order of their names."""
+        return " ".join(f"{name}={self._counts[name]}" for name in sorted(self._counts)) or "nothing counted"
+
+
+COUNTERS = Counters()
+
+
+def invariant(cond: bool, name: str) -> bool:
+    """Assert in a debug build; under -O count the breach and say so, so that a node never dies of a check.
+
+    Returns whether it holds. Not for input: what comes from outside is checked where it is read.
+    """
+    if not cond:
+        COUNTERS.add(f"broken.{name}")
+        if __debug__:
+            raise AssertionError(name)
+        log(f"invariant broken: {name}")
+    return cond
+
+
+def log(text: str) -> None:
+    """One line for the staff, on standard error."""
+    print(text, file=sys.stderr, flush=True)
--- /dev/null
+++ b/reedmount/core/ports.py
@@ -0,0 +1,81 @@
+"""The core's ports: what fronts give it, what it gives back, and what it asks of the server side."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import Protocol
+
+NORMAL, CUT = 16, 41  # Q.850 causes: the call came to its end, it was cut
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A call as a front gives it; ``name`` tells it from all others and goes on unchanged."""
+
+    name: str
+    call_class: str
+    number: str
+    first_choice: int | None
+    answer_by: datetime
+    description: bytes
+    redialled: bool = False
+    was_cut: bool = False
+
+
+class Caller(Protocol):
+    """The caller of a call, as its front shows it to the core."""
+
+    def answered(self, name: str, description: bytes) -> None:
+        """Final answer: the call stands."""
+
+    def refused(self, name: str, pause: timedelta) -> None:
+        """Final answer: refused; trying again after the pause is harmless."""
+
+    def failed(self, name: str) -> None:
+        """Final answer: failed."""
+
+    def released(self, name: str, cause: int) -> None:
+        """A call that stood is over."""
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """One attempt, as the server side is to send it."""
+
+    name: str
+    attempt: int
+    server: str
+    call_class: str
+    number: str
+    give_up: timedelta
+    description: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One call server of the pool, with the address it is reached at."""
+
+    server: str
+    address: tuple[str, int]
+    number: int
+    serving: bool
+    removed: bool
+    started: datetime | None
+    transport: str = "tcp"
+
+
+class Servers(Protocol):
+    """The server side: it sends set-ups, cancels and releases, and reports how each went."""
+
+    def send(self, setup: Setup) -> None:
+        """Send a set-up; its end or its answer is reported exactly once."""
+
+    def cancel(self, name: str, attempt: int) -> None:
+        """Stop an attempt; its end is reported once that is wholly written."""
+
+    def release(self, server: str | None, name: str, cause: int) -> None:
+        """Release a call that stands; None where it is not known which server has it."""
+
+    def listed(self, entries: list[Listed]) -> None:
+        """The pool has changed: these are the changed servers."""
--- /dev/null
+++ b/reedmount/core/switch.py
@@ -0,0 +1,316 @@
+"""The core: calls, attempts and the host of the decision module. It knows no wire and decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from reedmount import interface as i
+from reedmount.control import Controller
+from reedmount.core.checks import COUNTERS, invariant, log
+from reedmount.core.clock import Clock, micros, span, span_micros
+from reedmount.core.ports import CUT, NORMAL, Caller, Listed, Offer, Servers, Setup
+from reedmount.net.loop import Actor, Loop
+
+NO_REPORT = i.LoadReport()
+REMEMBERED = 4096  # names of calls that are over
+
+
+@dataclass(slots=True)
+class Call:
+    """A call from its offer to its end: one final answer, one attempt out at most."""
+
+    number: int
+    offer: Offer
+    caller: Caller
+    attempts: int = 0
+    out: int | None = None  # the attempt that is out
+    server: str = ""
+    sent_at: datetime | None = None
+    gone: bool = False  # nothing more is owed
+    standing: bool = False
+
+
+class Switch:
+    """Joins the fronts to the server side through the module, which alone decides."""
+
+    def __init__(self, loop: Loop, settings: i.Settings, seed: int) -> None:
+        self.settings = settings
+        self._loop, self._clock = loop, loop.clock
+        self._module = Controller(settings, seed)
+        self._inbox: Actor[i.Event] = Actor(loop, self._handle)
+        self._servers: Servers | None = None
+        self._classes = {kind.name for kind in settings.classes}
+        self._by_number: dict[int, Call] = {}
+        self._by_name: dict[str, Call] = {}
+        self._next = 1
+        self._orphans: list[Callable[[str, int], None]] = []
+        self._over: dict[str, None] = {}  # names that are over: a server repeats its releases
+
+    def attach(self, servers: Servers) -> None:
+        """Name the server side."""
+        self._servers = servers
+
+    def on_orphan(self, released: Callable[[str, int], None]) -> None:
+        """Have a front told of the release of a call that is not known here (we have restarted since)."""
+        self._orphans.append(released)
+
+    @property
+    def clock(self) -> Clock:
+        """The clock of all that is joined here."""
+        return self._clock
+
+    @property
+    def quiet(self) -> bool:
+        """Whether no call is open or standing."""
+        return not self._by_number
+
+    @property
+    def unanswered(self) -> int:
+        """How many calls are still owed their final answer."""
+        return sum(not call.gone for call in self._by_number.values())
+
+    # --- from the fronts ---
+
+    def offer(self, offer: Offer, caller: Caller) -> bool:
+        """A new call. False where its name is known already or its class is not: the front answers that."""
+        if offer.name in self._by_name or offer.call_class not in self._classes:
+            COUNTERS.add("calls.not_taken")
+            return False
+        COUNTERS.add("calls.taken")
+        call = Call(self._next, offer, caller)
+        self._next += 1
+        self._by_number[call.number] = self._by_name[offer.name] = call
+        self._inbox.post(
+            i.NewCall(
+                call=call.number,
+                call_class=offer.call_class,
+                tenant=None,
+                number=offer.number,
+                first_choice=offer.first_choice,
+                answer_by_us=micros(offer.answer_by),
+                redialled=offer.redialled,
+                was_cut=offer.was_cut,
+            )
+        )
+        return True
+
+    def caller_gone(self, name: str) -> None:
+        """The caller stopped waiting: nothing more is owed, and what is out for it is stopped."""
+        call = self._by_name.get(name)
+        if call is None or call.gone:
+            return
+        COUNTERS.add("calls.given_up")
+        call.gone = True  # dropped once the module knows, lest it counts a set-up that was never sent
+        self._inbox.post(i.CallerGone(call.number))
+        if call.out is not None:
+            self._side.cancel(name, call.out)
+
+    def caller_released(self, name: str, cause: int) -> bool:
+        """The caller ended a call that stands, or one from before our restart; False where it is unknown."""
+        call = self._by_name.get(name)
+        if call is None or not call.standing:
+            self._side.release(None, name, cause)
+            return False
+        COUNTERS.add("released.by_caller")
+        self._side.release(call.server, name, cause)
+        self._end_standing(call, i.Outcome.CANCELLED, NO_REPORT)
+        return True
+
+    # --- from the server side ---
+
+    def stands(self, name: str, attempt: int, description: bytes) -> bool:
+        """An attempt was answered. False where it is dead: the server side releases it."""
+        call = self._by_name.get(name)
+        if call is None or call.out != attempt:
+            COUNTERS.add("answers.late")
+            return False
+        call.out = None
+        delay = self._since(call)
+        if call.gone:
+            # It crossed the caller's going: nobody is there to talk to.
+            COUNTERS.add("answers.late")
+            self._post_end(call, i.Outcome.CANCELLED, i.Cause.NONE, NO_REPORT)
+            self._drop(call)
+            return False
+        call.gone = call.standing = True
+        COUNTERS.add("answered.stands")
+        call.caller.answered(name, description)
+        self._inbox.post(i.CallStands(call.number, call.attempts - 1, call.server, span_micros(delay)))
+        return True
+
+    def ended(
+        self,
+        name: str,
+        attempt: int,
+        outcome: i.Outcome,
+        cause: i.Cause = i.Cause.NONE,
+        report: i.LoadReport = NO_REPORT,
+    ) -> None:
+        """An attempt is over without an answer."""
+        call = self._by_name.get(name)
+        if call is None or call.out != attempt:
+            return
+        COUNTERS.add(f"attempts.{outcome.value.replace(' ', '_')}")
+        call.out = None
+        self._post_end(call, outcome, cause, report)
+        if call.gone:
+            self._drop(call)
+
+    def server_released(self, name: str, cause: int, report: i.LoadReport = NO_REPORT) -> bool:
+        """The server says that a call is over; False where it is not known here."""
+        call = self._by_name.get(name)
+        if call is None or not call.standing:
+            if call is None and name not in self._over:
+                # From before our restart: the front finds its caller.
+                self._remember(name)
+                COUNTERS.add("released.unknown")
+                for tell in self._orphans:
+                    tell(name, cause)
+            return False
+        COUNTERS.add("released.by_server")
+        call.caller.released(name, cause)
+        self._end_standing(call, i.Outcome.COMPLETED if cause == NORMAL else i.Outcome.RESET, report)
+        return True
+
+    def server_lost(self, server: str, before: datetime | None = None) -> None:
+        """A server's process is gone: the calls sent there (before the start of a new one) are cut."""
+        for call in list(self._by_number.values()):
+            older = before is None or call.sent_at is None or call.sent_at < before
+            if call.standing and call.server == server and older:
+                COUNTERS.add("released.server_lost")
+                call.caller.released(call.offer.name, CUT)
+                self._end_standing(call, i.Outcome.RESET, NO_REPORT)
+
+    def reported(self, server: str, report: i.LoadReport) -> None:
+        """A server told of its free lines unasked."""
+        self._inbox.post(i.ProbeAnswered(server, True, report))
+
+    def pool(self, version: int, kind: i.ListKind, entries: list[Listed]) -> None:
+        """News of the pool: to the server side first, so that nothing queued there goes to a drain."""
+        self._side.listed(entries)
+        told = tuple(
+            i.ServerEntry(
+                server=entry.server,
+                number=entry.number,
+                state=i.ServerState.SERVING
+                if entry.serving
+                else i.ServerState.REMOVED if entry.removed else i.ServerState.DRAINING,
+                started_us=0 if entry.started is None else micros(entry.started),
+            )
+            for entry in entries
+        )
+        self._inbox.post(i.ServerList(version, kind, told))
+
+    # --- the module ---
+
+    @property
+    def _side(self) -> Servers:
+        if self._servers is None:
+            raise RuntimeError("no server side is attached")
+        return self._servers
+
+    def _handle(self, event: i.Event) -> None:
+        for action in self._module.handle(micros(self._clock.now()), event):
+            self._perform(action)
+        if isinstance(event, i.CallerGone):
+            call = self._by_number.get(event.call)
+            if call is not None and call.out is None and not call.standing:
+                self._drop(call)
+
+    def _perform(self, action: i.Action) -> None:
+        match action:
+            case i.SendSetup():
+                self._send(action)
+            case i.CancelAttempt(number, attempt):
+                call = self._by_number.get(number)
+                if call is not None and call.out == attempt:
+                    self._side.cancel(call.offer.name, attempt)
+            case i.RefuseCall(number, pause_us):
+                pause = span(pause_us)
+                self._finish(number, "refused", lambda call: call.caller.refused(call.offer.name, pause))
+            case i.FailCall(number):
+                self._finish(number, "failed", lambda call: call.caller.failed(call.offer.name))
+            case i.SetTimer(name, after_us):
+                self._loop.after(span(after_us), lambda: self._inbox.post(i.TimerFired(name)))
+            case i.Log(text):
+                log(text)
+            case i.Subscribe():
+                pass  # the pool's news comes by itself
+
+    def _send(self, action: i.SendSetup) -> None:
+        call = self._by_number.get(action.call)
+        if call is None:
+            return
+        attempt = call.attempts
+        call.attempts += 1
+        if call.gone:
+            # The caller left while the module's word was on its way: nothing was sent.
+            self._inbox.post(self._end_event(call, attempt, action.server, i.Outcome.NOT_SENT))
+            return
+        if not invariant(call.out is None, "one_attempt_out"):
+            return
+        call.out, call.server, call.sent_at = attempt, action.server, self._clock.now()
+        COUNTERS.add("attempts.sent")
+        offer = call.offer
+        self._side.send(
+            Setup(offer.name, attempt, action.server, offer.call_class, offer.number,
+                  span(action.give_up_us), offer.description)
+        )  # fmt: skip
+
+    def _finish(self, number: int, what: str, answer: Callable[[Call], None]) -> None:
+        call = self._by_number.get(number)
+        if call is None or call.gone:
+            return  # its caller left while the answer was on its way
+        invariant(call.out is None, "no_answer_with_an_attempt_out")
+        COUNTERS.add(f"answered.{what}")
+        if self._clock.now() > call.offer.answer_by:
+            COUNTERS.add("answered.overdue")
+        self._settle(call)
+        answer(call)
+
+    # --- calls ---
+
+    def _since(self, call: Call) -> timedelta:
+        now = self._clock.now()
+        return now - (call.sent_at or now)
+
+    def _end_event(
+        self, call: Call, attempt: int, server: str, outcome: i.Outcome, cause: i.Cause = i.Cause.NONE,
+        report: i.LoadReport = NO_REPORT,
+    ) -> i.AttemptEnded:  # fmt: skip
+        return i.AttemptEnded(
+            call=call.number,
+            attempt=attempt,
+            server=server,
+            outcome=outcome,
+            closed=call.gone,
+            delay_us=span_micros(self._since(call)),
+            cause=cause,
+            report=report,
+        )
+
+    def _post_end(self, call: Call, outcome: i.Outcome, cause: i.Cause, report: i.LoadReport) -> None:
+        self._inbox.post(self._end_event(call, call.attempts - 1, call.server, outcome, cause, report))
+
+    def _end_standing(self, call: Call, outcome: i.Outcome, report: i.LoadReport) -> None:
+        self._post_end(call, outcome, i.Cause.NONE, report)
+        self._drop(call)
+
+    def _settle(self, call: Call) -> None:
+        """Nothing more is owed; with nothing out it is forgotten."""
+        call.gone = True
+        if call.out is None:
+            self._drop(call)
+
+    def _remember(self, name: str) -> None:
+        self._over[name] = None
+        if len(self._over) > REMEMBERED:
+            del self._over[next(iter(self._over))]
+
+    def _drop(self, call: Call) -> None:
+        self._remember(call.offer.name)
+        self._by_number.pop(call.number, None)
+        if self._by_name.get(call.offer.name) is call:
+            del self._by_name[call.offer.name]
--- /dev/null
+++ b/reedmount/dns/__init__.py
@@ -0,0 +1,1 @@
+"""DNS: zone files, what they say of the call servers, and dynamic updates."""
--- /dev/null
+++ b/reedmount/net/connection.py
@@ -0,0 +1,208 @@
+"""TCP connections and listeners on the loop."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from enum import Enum
+
+from reedmount.net.loop import READ, WRITE, Loop, Timer
+from reedmount.net.ring import Ring
+
+CHUNK = 65536
+IN_BOUND = 32768  # two messages of the longest kind
+OUT_BOUND = 262144  # a peer that leaves so much unread is given up
+BACKLOG = 512
+Address = tuple[str, int]
+
+
+class End(Enum):
+    """How a connection came to its end."""
+
+    CLOSED = "closed by the peer"
+    RESET = "reset"
+    REFUSED = "refused"
+    NEVER_UP = "never came up"
+    STUCK = "the peer reads nothing"
+    OURS = "closed here"
+
+
+class Connection:
+    """One TCP connection: a ring buffer a direction, and its owner's callbacks."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        on_data: Callable[[Connection], None],
+        on_end: Callable[[Connection, End], None],
+        on_sent: Callable[[Connection], None] = lambda _: None,
+    ) -> None:
+        self.incoming = Ring(IN_BOUND)
+        self.up = True
+        self.ended = False
+        self.heard_at: datetime = loop.clock.now()
+        self._outgoing = Ring(OUT_BOUND)
+        self._loop, self._sock = loop, sock
+        self._on_data, self._on_end, self._on_sent = on_data, on_end, on_sent
+        self._timer: Timer | None = None
+        self._closing = False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._watch()
+
+    @classmethod
+    def dial(
+        cls,
+        loop: Loop,
+        address: Address,
+        longest: timedelta,
+        on_data: Callable[[Connection], None],
+        on_end: Callable[[Connection, End], None],
+        on_sent: Callable[[Connection], None] = lambda _: None,
+    ) -> Connection:
+        """Connect; ``on_sent`` tells that it is up. A time-out and a refusal are told apart in ``on_end``."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        made = cls(loop, sock, on_data, on_end, on_sent)
+        made.up = False
+        made._watch()
+        if code not in (0, errno.EINPROGRESS):
+            end = End.REFUSED if code == errno.ECONNREFUSED else End.NEVER_UP
+            loop.soon(lambda: made.close(end))
+        made._timer = loop.after(longest, made._give_up)
+        return made
+
+    def _give_up(self) -> None:
+        if not self.up:
+            self.close(End.NEVER_UP)
+
+    @property
+    def idle(self) -> bool:
+        """Whether all that was sent is with the system: nothing waits here."""
+        return self.up and not self._outgoing
+
+    def send(self, data: bytes) -> None:
+        """Write what the system takes now and keep the rest."""
+        if self.ended:
+            return
+        if not self._outgoing.write(data):
+            self._loop.soon(lambda: self.close(End.STUCK))
+            return
+        if self.up:
+            self._flush()
+
+    def close(self, end: End = End.OURS) -> None:
+        """Close at once; the owner is told unless it did it itself."""
+        if self.ended:
+            return
+        self.ended, self.up = True, False
+        if self._timer is not None:
+            self._timer.cancel()
+        self._loop.unwatch(self._sock.fileno())
+        self._sock.close()
+        if end is not End.OURS:
+            self._on_end(self, end)
+
+    def close_when_sent(self) -> None:
+        """Close once all is written."""
+        self._closing = True
+        if self.idle:
+            self.close()
+
+    def _watch(self) -> None:
+        wanted = READ if self.up and not self._outgoing else READ | WRITE
+        self._loop.watch(self._sock.fileno(), wanted, self._ready)
+
+    def _ready(self, events: int) -> None:
+        if not self.up:
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self.close(End.REFUSED if code == errno.ECONNREFUSED else End.NEVER_UP)
+                return
+            if not events & WRITE:
+                return
+            self.up = True
+            self.heard_at = self._loop.clock.now()
+            self._watch()
+            self._on_sent(self)
+            if not self.ended and self._outgoing:
+                self._flush()
+        elif events & WRITE and not self.ended:
+            self._flush()
+        if not self.ended and events & ~WRITE:
+            self._read()
+
+    def _read(self) -> None:
+        while not self.ended:
+            room = self.incoming.room
+            if not room:
+                self.close(End.STUCK)  # its reader left a message longer than any may be
+                return
+            try:
+                data = self._sock.recv(min(CHUNK, room))
+            except BlockingIOError:
+                return
+            except OSError:
+                self.close(End.RESET)
+                return
+            if not data:
+                self.close(End.CLOSED)
+                return
+            self.heard_at = self._loop.clock.now()
+            self.incoming.write(data)
+            self._on_data(self)
+            if len(data) < room:
+                return
+
+    def _flush(self) -> None:
+        had = bool(self._outgoing)
+        while self._outgoing:
+            try:
+                sent = self._sock.send(self._outgoing.peek(CHUNK))
+            except BlockingIOError:
+                break
+            except OSError:
+                # The owner is amid something else: it is told after that.
+                self._loop.soon(lambda: self.close(End.RESET))
+                return
+            self._outgoing.drop(sent)
+        self._watch()
+        if had and not self._outgoing:
+            if self._closing:
+                self.close()
+            else:
+                self._on_sent(self)
+
+
+def listen(loop: Loop, address: Address, on_accept: Callable[[socket.socket], None]) -> socket.socket:
+    """Accept connections at an address; the listening socket is returned, to close it with."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+
+    def ready(_: int) -> None:
+        while True:
+            try:
+                accepted, _peer = sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError:
+                return  # out of descriptors: those who wait are accepted when one is free
+            on_accept(accepted)
+
+    loop.watch(sock.fileno(), READ, ready)
+    return sock
+
+
+def address_of(text: str) -> Address:
+    """Read ``host:port``."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ValueError(f"not an address with a port: {text!r}")
+    return host, int(port)
--- /dev/null
+++ b/reedmount/net/loop.py
@@ -0,0 +1,180 @@
+"""The epoll loop, its timers, and actors: generators that wait for their mailbox."""
+
+from __future__ import annotations
+
+import heapq
+import select
+import traceback
+from collections import deque
+from collections.abc import Callable, Generator
+from datetime import datetime, timedelta
+from typing import Any, Generic, TypeVar
+
+from reedmount.core.checks import COUNTERS, log
+from reedmount.core.clock import ZERO, Clock
+
+T = TypeVar("T")
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+LONGEST_WAIT = timedelta(seconds=1)
+
+
+class Timer:
+    """Something to be done at an instant, unless it is cancelled before."""
+
+    __slots__ = ("at", "cancelled", "order", "work")
+
+    def __init__(self, at: datetime, order: int, work: Callable[[], None]) -> None:
+        self.at, self.order, self.work, self.cancelled = at, order, work, False
+
+    def __lt__(self, other: Timer) -> bool:
+        """The earlier first; of one instant, the one set first."""
+        return (self.at, self.order) < (other.at, other.order)
+
+    def cancel(self) -> None:
+        """Don't do it."""
+        self.cancelled = True
+
+
+class Loop:
+    """One process, one thread: descriptors, timers and work that is ready."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.stopped = False
+        self._epoll = select.epoll()
+        self._handlers: dict[int, Callable[[int], None]] = {}
+        self._timers: list[Timer] = []
+        self._ready: deque[Callable[[], None]] = deque()
+        self._order = 0
+        self.keep: object = None  # what must live as long as the loop
+
+    def soon(self, work: Callable[[], None]) -> None:
+        """Do it in this turn, after what is ready already."""
+        self._ready.append(work)
+
+    def at(self, instant: datetime, work: Callable[[], None]) -> Timer:
+        """Do it at an instant."""
+        self._order += 1
+        timer = Timer(instant, self._order, work)
+        heapq.heappush(self._timers, timer)
+        return timer
+
+    def after(self, span: timedelta, work: Callable[[], None]) -> Timer:
+        """Do it after a span."""
+        return self.at(self.clock.now() + span, work)
+
+    def watch(self, fd: int, events: int, handler: Callable[[int], None]) -> None:
+        """Hear of a descriptor, or change what is heard of it."""
+        if fd in self._handlers:
+            self._epoll.modify(fd, events)
+        else:
+            self._epoll.register(fd, events)
+        self._handlers[fd] = handler
+
+    def unwatch(self, fd: int) -> None:
+        """Hear no more of a descriptor; to be called before it is closed."""
+        if self._handlers.pop(fd, None) is not None:
+            self._epoll.unregister(fd)
+
+    def run(self) -> None:
+        """Serve until stopped."""
+        while not self.stopped:
+            self.turn(LONGEST_WAIT)
+
+    def turn(self, longest: timedelta) -> bool:
+        """Wait for something, do it and all that follows from it; whether there was anything."""
+        busy = self._drain()
+        wait = ZERO if busy else longest
+        if self._timers:
+            wait = max(ZERO, min(wait, self._timers[0].at - self.clock.now()))
+        for fd, events in self._epoll.poll(wait.total_seconds()):
+            handler = self._handlers.get(fd)  # one closed earlier in this turn is passed over
+            if handler is not None:
+                self._do(lambda handler=handler, events=events: handler(events))  # type: ignore[misc]
+                busy = True
+        now = self.clock.now()
+        while self._timers and self._timers[0].at <= now:
+            timer = heapq.heappop(self._timers)
+            if not timer.cancelled:
+                self._do(timer.work)
+                busy = True
+        return self._drain() or busy
+
+    def close(self) -> None:
+        """Let the poller go."""
+        self._epoll.close()
+
+    def _drain(self) -> bool:
+        busy = bool(self._ready)
+        while self._ready:
+            self._do(self._ready.popleft())
+        return busy
+
+    @staticmethod
+    def _do(work: Callable[[], None]) -> None:
+        """An error in one piece of work is counted and told; a debug build stops there."""
+        try:
+            work()
+        except Exception:  # noqa: BLE001 - a fault must cost one call, not the node
+            if __debug__:
+                raise
+            COUNTERS.add("faults")
+            log(traceback.format_exc())
+
+
+class Mailbox(Generic[T]):
+    """What an actor has been sent and has not looked at yet."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+        self._items: deque[T] = deque()
+        self._waiter: Callable[[T], None] | None = None
+
+    def post(self, item: T) -> None:
+        """Send the actor something; it looks at it in this turn of the loop."""
+        self._items.append(item)
+        if len(self._items) == 1:
+            self._loop.soon(self._wake)
+
+    def take(self) -> Generator[Mailbox[Any], Any, T]:
+        """Wait for the next item: ``item = yield from mailbox.take()``."""
+        item: T = yield self
+        return item
+
+    def await_item(self, waiter: Callable[[T], None]) -> None:
+        """Have the next item handed over."""
+        self._waiter = waiter
+        if self._items:
+            self._loop.soon(self._wake)
+
+    def _wake(self) -> None:
+        if self._items and self._waiter is not None:
+            waiter, self._waiter = self._waiter, None
+            waiter(self._items.popleft())
+
+
+Script = Generator[Mailbox[Any], Any, None]
+
+
+class Actor(Generic[T]):
+    """A mailbox and a generator that lives on what comes into it."""
+
+    def __init__(self, loop: Loop, handle: Callable[[T], None]) -> None:
+        self.mailbox: Mailbox[T] = Mailbox(loop)
+        self._handle = handle
+        self._script = self._live()
+        self._step(None)
+
+    def post(self, item: T) -> None:
+        """Send it something."""
+        self.mailbox.post(item)
+
+    def _live(self) -> Script:
+        while True:
+            item = yield from self.mailbox.take()
+            Loop._do(lambda item=item: self._handle(item))  # type: ignore[misc]
+
+    def _step(self, item: T | None) -> None:
+        waiting = self._script.send(item)
+        waiting.await_item(self._step)
+
--- /dev/null
+++ b/reedmount/net/ring.py
@@ -0,0 +1,59 @@
+"""A bounded ring buffer: one a direction for each connection."""
+
+from __future__ import annotations
+
+START = 2048
+
+
+class Ring:
+    """Bytes in order; it grows by doubling up to its bound and never beyond."""
+
+    def __init__(self, bound: int) -> None:
+        self._bound = bound
+        self._store = bytearray(min(START, bound))
+        self._head = 0
+        self._size = 0
+
+    def __len__(self) -> int:
+        """How many bytes are held."""
+        return self._size
+
+    @property
+    def room(self) -> int:
+        """How many bytes still fit."""
+        return self._bound - self._size
+
+    def write(self, data: bytes) -> bool:
+        """Append all of it, or nothing where it does not fit."""
+        if len(data) > self.room:
+            return False
+        self._grow(self._size + len(data))
+        tail = (self._head + self._size) % len(self._store)
+        first = min(len(data), len(self._store) - tail)
+        self._store[tail : tail + first] = data[:first]
+        self._store[: len(data) - first] = data[first:]
+        self._size += len(data)
+        return True
+
+    def peek(self, most: int | None = None) -> bytes:
+        """The oldest bytes, left where they are."""
+        size = self._size if most is None else min(most, self._size)
+        first = min(size, len(self._store) - self._head)
+        return bytes(self._store[self._head : self._head + first]) + bytes(self._store[: size - first])
+
+    def drop(self, count: int) -> None:
+        """Remove the oldest bytes."""
+        count = min(count, self._size)
+        self._head = (self._head + count) % len(self._store)
+        self._size -= count
+
+    def _grow(self, needed: int) -> None:
+        if needed <= len(self._store):
+            return
+        size = len(self._store)
+        while size < needed:
+            size *= 2
+        held = self.peek()
+        self._store = bytearray(min(size, self._bound))
+        self._store[: len(held)] = held
+        self._head = 0
