Refuse a call the module has given up on at once, with a time to come back

Seen: a held call was kept until two ticks before its caller's time was up (_end_if_hopeless) and refused with pause 0 (_refuse): a hold of seconds that only put redials off. Now it is held up to its aim, one past its aim for one resend gap, and then refused with a pause drawn between two and four resend gaps.

--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -114,7 +114,7 @@
 
 
 def on_sockets(options: list[str]) -> i.Settings:
-    """The module's settings, read as the simulator's adapter reads them, with room for the way on a socket."""
+    """The module's settings, read as the simulator's adapter reads them, with room for the way."""
     try:
         plain = read_settings(options)
     except WireError as error:
--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -42,7 +42,9 @@
 IDLE_SPACING = 4.0  # of the work of one set-up from each proxy: enough where calls are few
 DRAIN_SHARE = 0.5  # of the last delay seen: the least hold-off, drawn between this and twice it
 HELD_MOST = 100  # held calls: a proxy serves a few a second, so more would only time out
-ANSWER_MARGIN = 2.0  # ticks: a held call gets its final answer so long before the caller's time is up
+ANSWER_MARGIN = 2.0  # ticks: no call is held nearer to the end of the caller's time than this
+HOLD = 1.0  # of the resend gap: so long a call waits at least, also one past its aim, before it is refused
+PAUSE = 2.0  # of the resend gap, drawn between this and twice it: when a refused caller may come back
 
 Key = tuple[str, str | None, str | None]  # class, tenant and number called: what a redial keeps
 
@@ -105,6 +107,7 @@
     aim_at_us: int
     answer_by_us: int
     attempts: int = 0
+    held_us: int = 0  # since when it waits
     server: Server | None = None  # where an attempt is out
     sent_us: int = 0
     not_before_us: int = 0
@@ -260,6 +263,7 @@
             first_choice=event.first_choice,
             aim_at_us=first_try + kind.aim_us,
             answer_by_us=event.answer_by_us,
+            held_us=now,
         )
         # A redial may come with less time left than a tick: it would be past its time before we look again.
         if not self._end_if_hopeless(now, call) and len(self._held) > HELD_MOST:
@@ -343,6 +347,7 @@
             return
         call.server = None
         self._held[call.id] = call
+        call.held_us = now
         if event.outcome in (i.Outcome.TIMED_OUT, i.Outcome.RESET, i.Outcome.CANCELLED):
             # The release rule: what the attempt held may stay taken for a while.
             call.not_before_us = now + self._settings.release_wait_us
@@ -609,21 +614,31 @@
         self._actions.append(i.SendSetup(call.id, server.id, max(1, call.answer_by_us - now)))
 
     def _end_if_hopeless(self, now: int, call: Call) -> bool:
-        """End a call that has no attempt out and can have no other in time."""
+        """End a call that has no attempt out and is given up: no other is possible in time, or worth a wait.
+
+        It is held briefly: up to its aim, and past that for a moment in which a server may be idle. Then its
+        caller hears at once. Keeping it to the end of the caller's time would only put the redial off.
+        """
         earliest = max(now, call.not_before_us)
         spent = call.attempts >= self._settings.max_attempts
-        if not (spent or call.unsafe or earliest + ANSWER_MARGIN * self._tick_us >= call.answer_by_us):
+        waited = now >= max(call.aim_at_us, call.held_us + HOLD * self._gap_us)
+        over = earliest + ANSWER_MARGIN * self._tick_us >= call.answer_by_us
+        if not (spent or call.unsafe or waited or over):
             return False
         self._refuse(call)
         return True
 
     def _refuse(self, call: Call) -> None:
-        """The final answer; a call that may have run and must not run twice is failed instead."""
+        """The final answer, with a time to come back, drawn lest those refused together return as one.
+
+        A call that may have run and must not run twice is failed instead.
+        """
         self._forget(call.id)
         if call.unsafe:
             self._actions.append(i.FailCall(call.id))
         else:
-            self._actions.append(i.RefuseCall(call.id, 0))
+            pause_us = PAUSE * self._gap_us * self._random.uniform(1, 2)
+            self._actions.append(i.RefuseCall(call.id, round(pause_us)))
 
     # --- time ---
 
--- /dev/null
+++ b/reedmount/dns/zone.py
@@ -0,0 +1,112 @@
+"""Zone files (RFC 1035) and what they say of the call servers: SRV and A records, read as RFC 3263 has it."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import dns.exception
+import dns.name
+import dns.rdata
+import dns.rdataclass
+import dns.rdataset
+import dns.rdatatype
+import dns.zone
+
+from reedmount.core.ports import Listed
+
+TRANSPORTS = ("udp", "tcp")
+
+
+class ZoneError(ValueError):
+    """A zone that cannot be used; the text names the file, and the line where it has one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """A call server that the zone names."""
+
+    server: str
+    address: tuple[str, int]
+    transport: str
+    priority: int
+    weight: int
+
+    @property
+    def number(self) -> int:
+        """Its number in the pool: the same at each start, whatever else the zone holds."""
+        return int.from_bytes(hashlib.sha256(self.server.encode()).digest()[:4], "big") >> 1
+
+    def listed(self, serving: bool = True) -> Listed:
+        """As the core has it."""
+        return Listed(self.server, self.address, self.number, serving, False, None, self.transport)
+
+
+def load(path: Path, origin: str | None) -> dns.zone.Zone:
+    """Read a zone file; an error tells where it is."""
+    try:
+        zone = dns.zone.from_file(str(path), origin=origin, relativize=False, check_origin=True)
+    except OSError as error:
+        raise ZoneError(f"{path}: {error.strerror or error}") from None
+    except UnicodeDecodeError:
+        raise ZoneError(f"{path}: not UTF-8 text") from None
+    except dns.exception.SyntaxError as error:  # dnspython writes file:line: before it
+        raise ZoneError(str(error)) from None
+    except dns.zone.NoSOA:
+        raise ZoneError(f"{path}:1: the zone has no SOA record") from None
+    except dns.zone.NoNS:
+        raise ZoneError(f"{path}:1: the zone has no NS record") from None
+    except (dns.exception.DNSException, ValueError, KeyError) as error:
+        raise ZoneError(f"{path}:1: {type(error).__name__}: {error}") from None
+    if zone.origin is None:
+        raise ZoneError(f"{path}:1: the zone has no origin")
+    return zone
+
+
+def save(zone: dns.zone.Zone, path: Path) -> None:
+    """Write the zone back, whole or not at all."""
+    beside = path.with_name(path.name + ".new")
+    beside.write_text(zone.to_text(sorted=True, relativize=False), encoding="utf-8")
+    os.replace(beside, path)
+
+
+def servers(zone: dns.zone.Zone, transports: Sequence[str]) -> dict[str, Found]:
+    """The call servers by name. One that offers several transports is reached over the first of ours."""
+    found: dict[str, Found] = {}
+    for transport in transports:
+        owner = dns.name.from_text(f"_sip._{transport}", zone.origin)
+        for record in zone.get_rdataset(owner, dns.rdatatype.SRV) or ():
+            if record.target == dns.name.root:
+                continue  # RFC 2782: decidedly not offered here
+            addresses = zone.get_rdataset(record.target, dns.rdatatype.A)
+            if not addresses:
+                continue
+            server = f"{str(record.target).rstrip('.')}:{record.port}"
+            address = min(item.address for item in addresses)
+            found.setdefault(
+                server, Found(server, (address, record.port), transport, record.priority, record.weight)
+            )
+    return found
+
+
+def first_choice(found: dict[str, Found], number: str) -> int | None:
+    """The server of first choice for a number: of the lowest priority, shared out by weight (RFC 2782).
+
+    The same number goes to the same server while the zone stays as it is.
+    """
+    if not found:
+        return None
+    lowest = min(item.priority for item in found.values())
+    choices = sorted((item for item in found.values() if item.priority == lowest), key=lambda item: item.server)
+    weights = [item.weight for item in choices]
+    if not any(weights):
+        weights = [1] * len(choices)
+    point = int.from_bytes(hashlib.sha256(number.encode()).digest()[:8], "big") % sum(weights)
+    for item, weight in zip(choices, weights, strict=True):
+        if point < weight:
+            return item.number
+        point -= weight
+    return None
--- /dev/null
+++ b/reedmount/sip/endpoint.py
@@ -0,0 +1,210 @@
+"""Where SIP is spoken: one UDP socket and one TCP listener at the same address, and connections made from it."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from reedmount.core.checks import COUNTERS, log
+from reedmount.net.connection import Address, Connection, End, listen
+from reedmount.net.loop import READ, Actor, Loop
+from reedmount.sip.framing import next_message
+from reedmount.sip.message import LONGEST, Message, SipError, parameter, parse_datagram, parse_head
+from reedmount.sip.transaction import Layer, ServerTransaction, Timers, User, answer_error, check, top_via
+
+CONNECTIONS = 512
+
+
+@dataclass(frozen=True, slots=True)
+class UdpHop:
+    """The way to an address by datagrams."""
+
+    sock: socket.socket
+    address: Address
+    reliable: bool = False
+
+    def send(self, data: bytes) -> None:
+        """Send it; what the system does not take is lost, as datagrams may be."""
+        try:
+            self.sock.sendto(data, self.address)
+        except OSError:
+            COUNTERS.add("sip.udp_not_sent")
+
+
+class TcpHop:
+    """A connection, with the actor that reads it."""
+
+    reliable = True
+
+    def __init__(self, endpoint: Endpoint, sock: socket.socket) -> None:
+        self._endpoint = endpoint
+        self._actor: Actor[End | None] = Actor(endpoint.loop, self._handle)
+        self.on_lost: Callable[[End], None] | None = None
+        self.on_up: Callable[[], None] | None = None
+        self.connection = Connection(endpoint.loop, sock, self._heard, self._ended, self._sent)
+
+    @classmethod
+    def dial(cls, endpoint: Endpoint, address: Address, wait: timedelta) -> TcpHop:
+        """Connect to the next element."""
+        made = cls.__new__(cls)
+        made._endpoint = endpoint
+        made._actor = Actor(endpoint.loop, made._handle)
+        made.on_lost = made.on_up = None
+        made.connection = Connection.dial(
+            endpoint.loop, address, wait, made._heard, made._ended, made._sent
+        )
+        return made
+
+    def send(self, data: bytes) -> None:
+        """Write it."""
+        self.connection.send(data)
+
+    def _heard(self, _: Connection) -> None:
+        self._actor.post(None)
+
+    def _ended(self, _: Connection, how: End) -> None:
+        self._actor.post(how)
+
+    def _sent(self, _: Connection) -> None:
+        if self.on_up is not None:
+            self.on_up()
+
+    def _handle(self, item: End | None) -> None:
+        if item is not None:
+            self._endpoint.lost(self, item)
+            if self.on_lost is not None:
+                self.on_lost(item)
+            return
+        while not self.connection.ended:
+            ring = self.connection.incoming
+            try:
+                message = next_message(ring)
+                if message is None:
+                    return
+            except SipError as error:
+                # The stream is out of step: say why, where the head can be read, and close.
+                self._endpoint.refuse(_head(ring.peek(LONGEST)), error, self)
+                self.connection.close_when_sent()
+                self._endpoint.lost(self, End.OURS)
+                return
+            self._endpoint.received(message, self)
+
+
+def mark_source(message: Message, received: str, rport: str) -> None:
+    """Write into the top Via where the request came from (18.2.1, RFC 3581)."""
+    for at, (key, value) in enumerate(message.headers):
+        if key.lower() == "via":
+            top, comma, rest = value.partition(",")
+            if rport:
+                parts = [part for part in top.split(";") if part.strip().partition("=")[0].lower() != "rport"]
+                top = ";".join(parts) + rport
+            message.headers[at] = (key, f"{top}{received}{comma}{rest}")
+            return
+
+
+def _head(data: bytes) -> Message | None:
+    head, blank, _ = data.partition(b"\r\n\r\n")
+    if not blank:
+        head = head.rpartition(b"\r\n")[0]
+    try:
+        return parse_head(head)
+    except SipError:
+        return None
+
+
+class Endpoint:
+    """The transport layer (section 18) under the transactions."""
+
+    def __init__(self, loop: Loop, address: Address, timers: Timers, user: User) -> None:
+        self.loop = loop
+        self.layer = Layer(loop, timers, user)
+        self.on_hop_lost: Callable[[list[ServerTransaction]], None] = lambda _: None
+        self._hops: dict[TcpHop, None] = {}
+        self._listener = listen(loop, address, self._accept)
+        self.address: Address = self._listener.getsockname()
+        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._udp.setblocking(False)
+        self._udp.bind(self.address)
+        self._datagrams: Actor[tuple[bytes, Address]] = Actor(loop, self._datagram)
+        loop.watch(self._udp.fileno(), READ, self._readable)
+
+    def udp(self, address: Address) -> UdpHop:
+        """The way to an address by datagrams."""
+        return UdpHop(self._udp, address)
+
+    def via(self, transport: str, branch: str) -> str:
+        """Our Via value."""
+        host, port = self.address
+        return f"SIP/2.0/{transport.upper()} {host}:{port};branch={branch};rport"
+
+    def contact(self, transport: str) -> str:
+        """Our Contact value."""
+        host, port = self.address
+        return f"<sip:reedmount@{host}:{port};transport={transport.lower()}>"
+
+    def received(self, message: Message, hop: UdpHop | TcpHop) -> None:
+        """Check a message and give it to its transaction."""
+        COUNTERS.add(f"sip.in.{'request' if message.is_request else 'response'}")
+        try:
+            check(message)
+            if isinstance(hop, UdpHop) and message.is_request:
+                hop = self._way_back(message, hop)
+            self.layer.received(message, hop)
+        except SipError as error:
+            self.refuse(message, error, hop)
+
+    def refuse(self, message: Message | None, error: SipError, hop: UdpHop | TcpHop) -> None:
+        """Answer what cannot be taken, or drop it; both are counted."""
+        answer = answer_error(message, error)
+        COUNTERS.add("sip.in.malformed" if answer is not None else "sip.in.dropped")
+        log(f"sip: {error}")
+        if answer is not None:
+            hop.send(answer.encode())
+
+    def lost(self, hop: TcpHop, _: End) -> None:
+        """A connection has ended: its transactions have to know."""
+        self._hops.pop(hop, None)
+        self.on_hop_lost(self.layer.hop_lost(hop))
+
+    def _way_back(self, message: Message, hop: UdpHop) -> UdpHop:
+        """Answers go to where the request came from; to the port of its Via unless it asks (RFC 3581)."""
+        via = top_via(message)
+        host, number = hop.address
+        if parameter(via, "rport") is not None:
+            mark_source(message, f";received={host}", f";rport={number}")
+            return hop
+        if via.partition(";")[0].split()[-1].partition(":")[0] != host:
+            mark_source(message, f";received={host}", "")
+        port = via.partition(";")[0].split()[-1].partition(":")[2]
+        number = int(port) if port.isdecimal() and 0 < int(port) < 65536 else 5060
+        return self.udp((hop.address[0], number))
+
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self._hops) >= CONNECTIONS:
+            COUNTERS.add("sip.in.no_room")
+            sock.close()
+            return
+        self._hops[TcpHop(self, sock)] = None
+
+    def _readable(self, _: int) -> None:
+        while True:
+            try:
+                item = self._udp.recvfrom(65536)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an ICMP error of an earlier datagram: its transaction times out
+            self._datagrams.post(item)
+
+    def _datagram(self, item: tuple[bytes, Address]) -> None:
+        data, address = item
+        if not data.strip(b"\r\n\0"):
+            return  # a keep-alive
+        try:
+            message = parse_datagram(data)
+        except SipError as error:
+            self.refuse(_head(data.lstrip(b"\r\n")), error, self.udp(address))
+            return
+        self.received(message, self.udp(address))
--- a/tests/test_flag_and_route.py
+++ b/tests/test_flag_and_route.py
@@ -153,6 +153,8 @@
         call = bench.call(first=1, left_us=60 * S)
         while bench.where(call) is None:
             bench.run_for(20 * MS)
+            if call in bench.finals:
+                call = bench.call(first=1, left_us=60 * S)
         start = bench.now
         bench.ended(call, i.Outcome.UNREACHABLE)
         if turn < failures - 1:
@@ -160,6 +162,8 @@
             bench.owed.pop(call)
     while bench.where(call) is None:
         bench.run_for(20 * MS)
+        if call in bench.finals:
+            call = bench.call(first=1, left_us=60 * S)
     return bench.now - start
 
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -28,7 +28,7 @@
 def test_a_call_past_its_aim_gives_way_to_a_fresh_one() -> None:
     bench = Bench()
     bench.call("great", left_us=8 * S)
-    bench.run_for(2 * S)
+    bench.run_for(1_400 * MS)
     fresh = bench.call("small")
     bench.feed(pool(entry("a")))
     assert next(iter(bench.sends)) == fresh
@@ -76,12 +76,51 @@
     """Late calls earn a quarter and lengthen the wait of those that come in time a moment later."""
     bench = Bench()
     late = [bench.call("small", left_us=8 * S) for _ in range(3)]
-    bench.run_for(2 * S)
+    bench.run_for(1_400 * MS)
     bench.feed(pool(entry("a")))
     assert len(bench.out) == 1
     assert set(bench.out) <= set(late)
 
 
+def test_a_call_given_up_is_refused_at_once_with_a_time_to_come_back() -> None:
+    """It was kept until two ticks before its caller's time was up, and then refused with no time told."""
+    bench = Bench()
+    call = bench.call("small", left_us=8 * S)
+    bench.run_for(1_400 * MS)
+    assert call not in bench.finals
+    bench.run_for(200 * MS)
+    answer = bench.finals[call]
+    assert isinstance(answer, i.RefuseCall) and S <= answer.retry_after_us <= 2 * S
+
+
+def test_a_redial_past_its_aim_is_held_for_a_moment_only() -> None:
+    """Its aim runs from the first try: it may find a server idle, but is not kept until its time is up."""
+    bench = Bench()
+    bench.call("small", left_us=S, number="42")
+    bench.run_for(2 * S)
+    again = bench.call("small", left_us=6 * S, number="42", redialled=True)
+    bench.run_for(400 * MS)
+    assert again not in bench.finals
+    bench.run_for(200 * MS)
+    assert isinstance(bench.finals[again], i.RefuseCall)
+
+
+def test_a_call_whose_attempts_are_spent_is_refused_at_once() -> None:
+    bench = with_pool("a", max_attempts=1)
+    call = bench.call(left_us=8 * S)
+    bench.ended(call, i.Outcome.FULL, i.Cause.PROCESSOR_FULL)
+    answer = bench.finals[call]
+    assert isinstance(answer, i.RefuseCall) and answer.retry_after_us > 0
+
+
+def test_those_refused_together_are_not_told_to_come_back_together() -> None:
+    bench = Bench()
+    calls = [bench.call("small", left_us=8 * S) for _ in range(5)]
+    bench.run_for(2 * S)
+    answers = [bench.finals[call] for call in calls]
+    assert len({answer.retry_after_us for answer in answers if isinstance(answer, i.RefuseCall)}) == 5
+
+
 def test_the_window_grows_only_when_it_was_full() -> None:
     """Grown on idle days it let a jump in calls pile up at the servers."""
     bench = with_pool("a", proxies=1)
