Take the answers to second attempts: call servers give no CSeq number back

A trace of sends and answers showed every answer to a second attempt come in 35 ms with CSeq 1, where the set-up had 2. To blame: CallServer._answer, which compared the numbers, so each such call hung, raised the flag after 400 ms, and was called off when overtaken. Ruled out: lost wake-ups and messages stuck in a ring (all answers were read in time). Now an answer is matched by call and connection, and by the Via's branch where the server gives one back.

--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -42,10 +42,9 @@
     return request("BYE", f"sip:{name}@net", headers).encode()
 
 
-def plain(method: str, uri: str, name: str, number: int) -> bytes:
+def plain(method: str, uri: str, name: str, via: str = "SIP/2.0/TCP reedmount") -> bytes:
     """An ACK or a CANCEL."""
-    headers = [("Via", "SIP/2.0/TCP reedmount"), ("Call-ID", name), ("CSeq", f"{number} {method}")]
-    return request(method, uri, headers).encode()
+    return request(method, uri, [("Via", via), ("Call-ID", name), ("CSeq", f"1 {method}")]).encode()
 
 
 def cause_of(message: Message) -> int:
@@ -336,9 +335,19 @@
     ending: bool = False
 
     @property
-    def number(self) -> int:
-        """Its CSeq: attempts of one call are told apart by it."""
-        return self.setup.attempt + 1
+    def via(self) -> str:
+        """What tells the attempts of one call apart, where the server gives it back.
+
+        The number in CSeq does not: call servers answer every set-up as number 1, and the answers to second
+        attempts were passed over for it.
+        """
+        return f"SIP/2.0/TCP reedmount;branch=z9hG4bK{self.setup.name}.{self.setup.attempt}"
+
+    def answered_by(self, message: Message, connection: Connection) -> bool:
+        """Whether this is its answer, and not one to an earlier attempt of the same call."""
+        given = message.get("Via")
+        ours = given is None or "branch=" not in given or given == self.via
+        return ours and self.sent_on is connection and not self.ending
 
 
 @dataclass(slots=True)
@@ -485,9 +494,9 @@
             self._end(attempt, i.Outcome.NOT_SENT)
             return
         headers = [
-            ("Via", "SIP/2.0/TCP reedmount"),
+            ("Via", attempt.via),
             ("Call-ID", setup.name),
-            ("CSeq", f"{attempt.number} INVITE"),
+            ("CSeq", "1 INVITE"),
             ("X-Cos", setup.call_class),
             ("X-Timer-Ms", str(whole_millis(setup.give_up))),
         ]
@@ -528,7 +537,7 @@
             return
         if not attempt.ending:
             attempt.ending = True
-            data = plain("CANCEL", attempt.uri, attempt.setup.name, attempt.number)
+            data = plain("CANCEL", attempt.uri, attempt.setup.name, attempt.via)
             done = Outgoing(data, "out.server.CANCEL", written=lambda: self._end(attempt, outcome))
             if attempt.sent_on is self._connection:
                 self._queue(done, first=True)
@@ -649,9 +658,8 @@
 
     def _take(self, connection: Connection, message: Message) -> None:
         if not message.is_request:
-            number, method = message.cseq
-            if method == "INVITE" and message.status >= 200:
-                self._answer(connection, message, number)
+            if message.cseq[1] == "INVITE" and message.status >= 200:
+                self._answer(connection, message)
             return
         COUNTERS.add(f"in.server.{message.method if message.method in ('BYE', 'NOTIFY') else 'other'}")
         if message.method == "NOTIFY":
@@ -665,15 +673,15 @@
         elif message.method != "ACK":
             connection.send(response(message, 501).encode())
 
-    def _answer(self, connection: Connection, message: Message, number: int) -> None:
+    def _answer(self, connection: Connection, message: Message) -> None:
         name = message.call_id
         COUNTERS.add(f"in.server.{message.status}")
         attempt = self._attempts.get(name)
         uri = attempt.uri if attempt is not None else f"sip:{name}@net"
-        connection.send(plain("ACK", uri, name, number))
-        mine = attempt is not None and attempt.number == number and attempt.sent_on is connection
+        connection.send(plain("ACK", uri, name))
+        mine = attempt is not None and attempt.answered_by(message, connection)
         if message.status < 300:
-            if attempt is not None and mine and not attempt.ending:
+            if attempt is not None and mine:
                 attempt.timer.cancel()
                 del self._attempts[name]
                 if self._switch.stands(name, attempt.setup.attempt, message.body):
@@ -682,7 +690,7 @@
             # The answer of an attempt that is over: nobody has this call.
             COUNTERS.add("server.late_answers")
             self._queue(Outgoing(bye(name, CUT), "out.server.BYE"))
-        elif attempt is not None and mine and not attempt.ending:
+        elif attempt is not None and mine:
             self._end(attempt, OUTCOMES.get(message.status, i.Outcome.FAILED), message)
 
 
