--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import ipaddress
 import json
 import tomllib
@@ -318,7 +319,7 @@
         name, secret = item.get("name", str), item.get("secret", str)
         algorithm = item.get("algorithm", str, "hmac-sha256")
         try:
-            key = dns.tsig.Key(name, secret, algorithm)
+            key = dns.tsig.Key(name, base64.b64decode(secret, validate=True), algorithm)
             dns.tsig.get_context(key)  # type: ignore[no-untyped-call]
         except (dns.exception.DNSException, ValueError, NotImplementedError) as error:
             raise ConfigError(f"{item.path}: {type(error).__name__} {error}") from None
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -18,7 +18,7 @@
 from reedmount.sip import dialog as dialogs
 from reedmount.sip.dialog import Dialog
 from reedmount.sip.endpoint import Endpoint, TcpHop
-from reedmount.sip.message import Message, SipError, parameter, request, response, user_of
+from reedmount.sip.message import Message, SipError, host_port, parameter, request, response, user_of
 from reedmount.sip.transaction import COOKIE, ClientTransaction, Hop, ServerTransaction, State, Timers
 
 ALLOW = "INVITE, ACK, BYE, CANCEL, OPTIONS"
@@ -175,6 +175,14 @@
         """End a leg; its answer changes nothing."""
         if dialog is None:
             return
+        if isinstance(hop, TcpHop) and hop.connection.ended:
+            # The connection of its set-up is gone: the peer's Contact says where it is to be found.
+            try:
+                address = host_port(dialog.target)
+            except SipError:
+                COUNTERS.add("sip.released.untold")
+                return
+            hop = TcpHop.dial(self.endpoint, address, self.settings.connect_wait)
         reason = [("Reason", f"Q.850;cause={cause}")]
         self.endpoint.layer.send(dialog.request("BYE", self.via(hop), reason), hop, lambda _: None)
 
--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -233,3 +233,14 @@
         raise SipError(400, f"not a SIP address: {uri[:40]!r}")
     rest = uri.partition(":")[2]
     return rest.partition("@")[0].partition(";")[0] if "@" in rest else ""
+
+
+def host_port(uri: str) -> tuple[str, int]:
+    """The host and port of a SIP address; 5060 where it names none."""
+    if not uri.lower().startswith("sip:"):
+        raise SipError(400, f"not a SIP address: {uri[:40]!r}")
+    place = uri.partition(":")[2].rpartition("@")[2].partition(";")[0].partition("?")[0]
+    host, _, port = place.partition(":")
+    if not host or (port and not (port.isdecimal() and 0 < int(port) < 65536)):
+        raise SipError(400, f"no host and port in {uri[:40]!r}")
+    return host, int(port or 5060)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,120 @@
+"""Configuration: the platform's and the operator's, what is wrong with it named by its key."""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from reedmount.config import ConfigError, flatten, read_operator, read_platform
+from reedmount.simhost import read_settings
+from tests.test_board import host, notice
+from tests.test_simhost import OPTIONS
+
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS = {
+    "balancers": 4, "over_share_worth": 0.1, "discovery": "pushed", "tenants": [], "never": {"heard": None},
+    "classes": [{"name": "plain", "worth": 1.0, "late_share": 0.25, "target": 2000000, "deadline": 9000000,
+                 "effect": "read_like"}],
+    "specifics": {"retransmit": 500000, "clear_wait": 300000, "pools_by_class": [[0, 1]]},
+    "rules": {"cold": 14000000, "start_capacity": 0.32, "fall_multiple": 2.5, "tip_after": 3000000},
+    "allowed": {"max_attempts": 4, "cancel": True, "connect_timeout": 250000},
+    "clients": {"marks_retry": False},
+}  # fmt: skip
+
+
+def platform(folder: Path, env: dict[str, str] | None = None, **changes: Any) -> Any:
+    config = {
+        "name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f", "limits": {"sockets": 1024},
+        "board": "127.0.0.1:9", "known": {"rev": 1, "notices": [notice(1, host("a"), whole=True)]},
+        "settings": SETTINGS, **changes,
+    }  # fmt: skip
+    path = folder / "config.json"
+    path.write_text(json.dumps({key: value for key, value in config.items() if value is not None}))
+    return read_platform({"GW_CONFIG": str(path), **(env or {})})
+
+
+def test_the_platform_s_settings_are_read_as_the_adapter_reads_them(tmp_path: Path) -> None:
+    read = platform(tmp_path, {"GW_NAME": "n9", "GW_LISTEN": "127.0.0.1:77"})
+    assert (read.name, read.listen, read.seed, read.known_last) == ("n9", ("127.0.0.1", 77), 0x8C1F, 1)
+    assert read.connect_wait == timedelta(milliseconds=250)
+    assert read.settings.classes[0].servers == (0, 1) and read.settings.may_cancel
+    assert read.settings.release_wait_us == 360_000, "the limit on sockets is wider"
+
+
+def test_nested_settings_become_the_paths_of_the_wire() -> None:
+    nested = read_settings([*flatten(SETTINGS), "specifics.pools_by_class.0="])
+    wire = read_settings(OPTIONS)
+    assert nested == wire
+
+
+@pytest.mark.parametrize(
+    ("changes", "fault"),
+    [
+        ({"board": None}, "board is missing"),
+        ({"board": "nowhere"}, "board: not an address"),
+        ({"listen": "127.0.0.1"}, "listen: not an address"),
+        ({"seed": "xyz"}, "seed: not hex digits"),
+        ({"known": {"rev": 1}}, "known: "),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"settings": {**SETTINGS, "balancers": "many"}}, "settings: setting balancers"),
+        ({"settings": {**SETTINGS, "rules": {}}}, "setting rules.cold is missing"),
+    ],
+)
+def test_a_fault_of_the_platform_s_configuration_is_named(
+    tmp_path: Path, changes: dict[str, Any], fault: str
+) -> None:
+    with pytest.raises(ConfigError) as caught:
+        platform(tmp_path, **changes)
+    assert fault in str(caught.value)
+
+
+def test_a_configuration_that_is_not_there_or_no_json_is_named(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text("{")
+    for env, fault in (
+        ({}, "GW_CONFIG is missing"),
+        ({"GW_CONFIG": str(tmp_path / "none")}, "GW_CONFIG: "),
+        ({"GW_CONFIG": str(tmp_path / "config.json")}, "not JSON"),
+    ):
+        with pytest.raises(ConfigError, match=fault):
+            read_platform(env)
+
+
+def test_the_operator_s_file_in_deploy_is_read() -> None:
+    read = read_operator(ROOT / "deploy" / "sip.toml")
+    assert read.sip.class_of("0800123", None) == "assist-call"
+    assert read.sip.class_of("123", None) == "quote-call"
+    assert read.sip.class_of("0800123", "agency-call") == "agency-call"
+    assert read.zone.is_file() and read.updates is not None and read.settings.proxies == 1
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "fault"),
+    [
+        ('listen = "127.0.0.1:5060"', "listen = 5060", "sip.listen: str wanted"),
+        ('listen = "127.0.0.1:5060"', "", "sip.listen is missing"),
+        ("t1_ms = 500", "t1_ms = 0", "sip.t1_ms: "),
+        ("t1_ms = 500", "t1 = 500", "sip.t1 is not known"),
+        ('default_class = "quote-call"', 'default_class = "x"', "sip.default_class"),
+        ('transports = ["tcp", "udp"]', 'transports = ["sctp"]', "dns.transports"),
+        ('allow = ["127.0.0.1"]', 'allow = ["here"]', "dns.update.allow"),
+        ("controllers = 1", "controllers = 0", "module.controllers"),
+        ("fall_multiple = 2.5", "fall_multiple = true", "module.fall_multiple"),
+        ('name = "agency-call"', 'name = "quote-call"', "class[2].name"),
+        ("aim_ms = 1200", "", "class[0].aim_ms is missing"),
+        ("[module]", "[modules]", "modules is not known"),
+        ("[module]", "[module", "sip.toml"),
+        ("# [[dns.update.key]]", '[[dns.update.key]]\nname="k."\nsecret="!"\n', "dns.update.key[0]"),
+    ],
+)
+def test_a_fault_of_the_operator_s_file_is_named(tmp_path: Path, old: str, new: str, fault: str) -> None:
+    text = (ROOT / "deploy" / "sip.toml").read_text()
+    assert old in text
+    path = tmp_path / "sip.toml"
+    path.write_text(text.replace(old, new, 1))
+    with pytest.raises(ConfigError) as caught:
+        read_operator(path)
+    assert fault in str(caught.value)
--- /dev/null
+++ b/tests/test_message.py
@@ -0,0 +1,128 @@
+"""SIP messages: reading, framing, and keys of transactions and dialogs."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reedmount.net.ring import Ring
+from reedmount.sip.dialog import as_caller, key_of
+from reedmount.sip.framing import next_message
+from reedmount.sip.message import (
+    Message,
+    SipError,
+    header_values,
+    host_port,
+    parse_datagram,
+    parse_head,
+    request,
+    response,
+    user_of,
+)
+from reedmount.sip.transaction import server_key
+
+OLD = (
+    "INVITE sip:0800@net SIP/2.0\r\nv: SIP/2.0/UDP old:5060\r\nf: <sip:a@b>;tag=1\r\nt: <sip:c@d>\r\n"
+    "i: x1\r\nCSeq: 7 INVITE\r\nSubject: one\r\n two\r\n\tthree\r\nl: 2\r\n\r\nab"
+)
+
+
+def test_compact_and_folded_headers_are_read_by_their_long_names() -> None:
+    message = parse_datagram(OLD.encode())
+    assert (message.call_id, message.cseq, message.body) == ("x1", (7, "INVITE"), b"ab")
+    assert message.get("subject") == "one two three" and message.get("Via") == "SIP/2.0/UDP old:5060"
+
+
+def test_a_request_without_a_branch_is_matched_by_what_it_is() -> None:
+    """Clients older than RFC 3261 put no branch into Via: all their calls would be one transaction."""
+    first = parse_datagram(OLD.encode())
+    again = parse_datagram(OLD.encode())
+    other = parse_datagram(OLD.replace("x1", "x2").encode())
+    ack = parse_datagram(OLD.replace("INVITE sip", "ACK sip").replace("7 INVITE", "7 ACK").encode())
+    assert server_key(first) == server_key(again) == server_key(ack) != server_key(other)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "status"),
+    [
+        ("SIP/2.0\r\nv", "SIP/3.0\r\nv", 505),
+        ("INVITE sip", "INV@TE sip", 400),
+        ("l: 2", "l: -2", 400),
+        ("l: 2", "l: 3", 400),
+        ("l: 2", "no colon", 400),
+        ("\r\n\r\nab", "\r\n", 400),
+    ],
+)
+def test_malformed_messages_are_refused(old: str, new: str, status: int) -> None:
+    with pytest.raises(SipError) as caught:
+        parse_datagram(OLD.replace(old, new, 1).encode())
+    assert caught.value.status == status
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.binary(max_size=300), st.integers(0, 250), st.integers(0, 40))
+def test_whatever_comes_is_read_or_refused(noise: bytes, at: int, cut: int) -> None:
+    data = OLD.encode()
+    for wire in (noise, data[:at] + noise + data[at + cut :]):
+        try:
+            message = parse_datagram(wire)
+            assert message.is_request or message.status
+        except SipError as error:
+            assert 400 <= error.status < 600
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.integers(1, 90), min_size=1, max_size=40), st.lists(st.binary(max_size=60), max_size=5))
+def test_a_stream_is_cut_into_its_messages_wherever_it_is_split(cuts: list[int], bodies: list[bytes]) -> None:
+    asked = [request("OPTIONS", "sip:a@b", [("Call-ID", "x")], body).encode() for body in bodies]
+    wire = b"".join(b"\r\n" + message for message in asked)
+    ring, found = Ring(32768), []
+    turn = 0
+    while wire:
+        size = cuts[turn % len(cuts)]
+        ring.write(wire[:size])
+        wire, turn = wire[size:], turn + 1
+        while (message := next_message(ring)) is not None:
+            found.append(message.body)
+    assert found == bodies
+
+
+def test_a_stream_out_of_step_or_too_long_is_refused() -> None:
+    for data, status in (
+        (b"OPTIONS sip:a@b SIP/2.0\r\nCall-ID: x\r\n\r\n", 400),
+        (b"OPTIONS sip:a@b SIP/2.0\r\nContent-Length: 16384\r\n\r\n", 513),
+        (b"x" * 16400, 513),
+    ):
+        ring = Ring(32768)
+        ring.write(data)
+        with pytest.raises(SipError) as caught:
+            next_message(ring)
+        assert caught.value.status == status
+
+
+def test_values_are_split_at_commas_outside_quotes_and_brackets() -> None:
+    assert header_values('"a, b" <sip:c,d@e>, <sip:f>;x=1') == ['"a, b" <sip:c,d@e>', "<sip:f>;x=1"]
+    assert user_of("sip:0800;x=1@net") == "0800" and user_of("sips:net") == ""
+    assert host_port("sip:a@b;transport=tcp") == ("b", 5060) and host_port("sip:b:70") == ("b", 70)
+    for uri in ("tel:1", "sip:", "sip:a@b:x"):
+        with pytest.raises(SipError):
+            host_port(uri)
+
+
+def test_a_dialog_s_route_is_turned_round_for_the_caller_and_its_key_fits() -> None:
+    headers = [("From", "<sip:us@a>;tag=1"), ("To", "<sip:them@b>"), ("Call-ID", "x"), ("CSeq", "1 INVITE")]
+    invite = request("INVITE", "sip:them@b", headers)
+    extra = [("Record-Route", "<sip:p1>, <sip:p2>"), ("Contact", "<sip:them@c:9>")]
+    answer = response(invite, 200, extra, tag="2")
+    dialog = as_caller(invite, answer)
+    bye = dialog.request("BYE", "SIP/2.0/UDP us;branch=z9hG4bK1")
+    assert bye.uri == "sip:them@c:9" and bye.all("Route") == ["<sip:p2>", "<sip:p1>"]
+    assert bye.cseq == (2, "BYE")
+    theirs = parse_head(
+        b"BYE sip:us@a SIP/2.0\r\nCall-ID: x\r\nFrom: <sip:them@b>;tag=2\r\n"
+        b"To: <sip:us@a>;tag=1\r\nCSeq: 5 BYE"
+    )
+    assert key_of(theirs) == dialog.key
+    assert dialog.in_order(theirs) and not dialog.in_order(theirs)
+    assert isinstance(theirs, Message)
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,148 @@
+"""The loop, rings, connections, counters and invariants."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+from datetime import timedelta
+
+import pytest
+
+from reedmount.core.checks import Counters, invariant
+from reedmount.core.clock import ZERO, Clock, micros, span, whole_millis
+from reedmount.net.connection import Connection, End, address_of
+from reedmount.net.loop import Actor, Loop
+from reedmount.net.ring import Ring
+from tests.scenario import HOST, VirtualTime
+
+
+def test_the_ring_keeps_order_over_its_seam_and_its_bound() -> None:
+    ring, fed, read = Ring(5000), bytearray(), bytearray()
+    for turn in range(200):
+        chunk = bytes([turn % 251]) * (turn * 37 % 900)
+        if ring.write(chunk):
+            fed += chunk
+        part = ring.peek(turn * 53 % 700)
+        ring.drop(len(part))
+        read += part
+    read += ring.peek()
+    assert read == fed
+    assert not ring.write(b"x" * (ring.room + 1)) and ring.write(b"x" * ring.room)
+
+
+def test_the_clock_does_not_jump_with_the_system_clock() -> None:
+    unix, steady = [1000.0], [5.0]
+    clock = Clock(lambda: unix[0], lambda: steady[0])
+    unix[0], steady[0] = 9999.0, 7.0
+    assert micros(clock.now()) == 1002 * 1_000_000
+    assert whole_millis(span(1)) == 1 and whole_millis(span(2000)) == 2
+
+
+def test_timers_come_in_order_and_cancelled_ones_not() -> None:
+    time, seen = VirtualTime(), list[str]()
+    loop = Loop(time.clock)
+    loop.after(timedelta(seconds=2), lambda: seen.append("late"))
+    loop.after(timedelta(seconds=1), lambda: seen.append("early"))
+    loop.after(timedelta(seconds=1), lambda: seen.append("never")).cancel()
+    loop.turn(ZERO)
+    assert not seen
+    time.seconds = 3.0
+    loop.turn(ZERO)
+    assert seen == ["early", "late"]
+
+
+def test_an_actor_takes_what_it_is_sent_in_order_also_from_itself() -> None:
+    loop, seen = Loop(VirtualTime().clock), list[int]()
+
+    def handle(item: int) -> None:
+        seen.append(item)
+        if item < 3:
+            actor.post(item + 10)
+
+    actor = Actor(loop, handle)
+    for item in range(3):
+        actor.post(item)
+    loop.turn(ZERO)
+    assert seen == [0, 1, 2, 10, 11, 12]
+
+
+def dial(address: tuple[str, int], wait: timedelta) -> tuple[Loop, VirtualTime, list[End]]:
+    time, ends = VirtualTime(), list[End]()
+    loop = Loop(time.clock)
+    Connection.dial(loop, address, wait, lambda _: None, lambda _, how: ends.append(how))
+    return loop, time, ends
+
+
+def test_a_refused_connection_and_one_that_never_comes_up_are_told_apart() -> None:
+    with socket.create_server((HOST, 0)) as server:
+        closed = server.getsockname()
+    loop, _, ends = dial(closed, timedelta(seconds=1))
+    for _ in range(5):
+        loop.turn(timedelta(milliseconds=20))
+    assert ends == [End.REFUSED]
+    with socket.socket() as full:
+        full.bind((HOST, 0))
+        full.listen(0)
+        filling = [socket.socket() for _ in range(4)]
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        loop, time, ends = dial(full.getsockname(), timedelta(milliseconds=500))
+        loop.turn(timedelta(milliseconds=20))
+        assert not ends
+        time.seconds = 1.0
+        loop.turn(ZERO)
+        assert ends == [End.NEVER_UP]
+        for sock in filling:
+            sock.close()
+
+
+def test_a_peer_that_reads_nothing_is_given_up() -> None:
+    left, right = socket.socketpair(socket.AF_UNIX)
+    right.close()
+    with socket.create_server((HOST, 0)) as server:
+        out = socket.create_connection(server.getsockname())
+        accepted, _ = server.accept()
+    left.close()
+    ends: list[End] = []
+    loop = Loop(VirtualTime().clock)
+    connection = Connection(loop, out, lambda _: None, lambda _, how: ends.append(how))
+    for _ in range(2000):
+        connection.send(b"x" * 16384)
+        loop.turn(ZERO)
+        if ends:
+            break
+    assert ends == [End.STUCK] and connection.ended
+    accepted.close()
+
+
+@pytest.mark.parametrize("text", ["", "host", "host:", ":1", "host:70000", "host:x"])
+def test_bad_addresses_are_refused(text: str) -> None:
+    with pytest.raises(ValueError):
+        address_of(text)
+
+
+def test_an_invariant_is_asserted_in_debug_builds_and_counted_in_release_builds() -> None:
+    assert invariant(True, "holds")
+    with pytest.raises(AssertionError, match="broken"):
+        invariant(False, "broken")
+    code = (
+        "from reedmount.core.checks import COUNTERS, invariant\n"
+        "from reedmount.core.clock import Clock, ZERO\n"
+        "from reedmount.net.loop import Loop\n"
+        "invariant(False, 'one')\n"
+        "loop = Loop(Clock()); loop.soon(lambda: 1 / 0); loop.turn(ZERO)\n"
+        "print(COUNTERS.text())"
+    )
+    done = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, env=os.environ)
+    assert done.stdout.strip() == "broken.one=1 faults=1"
+
+
+def test_counters_print_in_the_order_of_their_names() -> None:
+    counters = Counters()
+    assert counters.text() == "nothing counted"
+    counters.add("b")
+    counters.add("a", 2)
+    assert counters.text() == "a=2 b=1" and counters["none"] == 0
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -318,6 +318,24 @@
     assert phone.inbox[-1].method == "BYE"
 
 
+def test_a_release_finds_a_tcp_client_whose_connection_has_closed() -> None:
+    """Its BYE went into the closed connection and was lost."""
+    stage = Sip("server")
+    stage.play(call("desk", "server"))
+    desk = stage.peers["desk"]
+    dialog = next(iter(stage.front.legs.values())).dialog
+    home = stage.peer("home", "tcp")
+    assert dialog is not None and desk.sock is not None
+    dialog.target = f"sip:c1@{HOST}:{home.port}"
+    stage.play("""
+        desk close
+        wait 10
+        server send BYE @
+        server expect 200
+        home expect BYE c1
+    """)
+
+
 def test_a_client_connection_that_breaks_gives_its_call_up() -> None:
     stage = Sip("server")
     stage.play("""
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,90 @@
+"""The program as it is started: both fronts, the signals, and what keeps it from starting."""
+
+from __future__ import annotations
+
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from tests.scenario import HOST
+from tests.test_config import ROOT, platform
+
+
+@contextmanager
+def started(*words: str, **env: str) -> Iterator[subprocess.Popen[bytes]]:
+    command = [sys.executable, "-O", "-m", "reedmount", *words]
+    process = subprocess.Popen(command, cwd=ROOT, env={**os.environ, **env}, stderr=subprocess.PIPE)
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+        assert process.stderr is not None
+        process.stderr.close()
+
+
+def line(process: subprocess.Popen[bytes]) -> str:
+    assert process.stderr is not None
+    assert select.select([process.stderr], [], [], 20)[0], "it said nothing"
+    return process.stderr.readline().decode()
+
+
+def free_port() -> int:
+    with socket.create_server((HOST, 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+def test_the_platform_s_front_starts_passes_its_test_and_ends_on_sigterm(tmp_path: Path) -> None:
+    platform(tmp_path)
+    address = (HOST, free_port())
+    env = {"GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"{HOST}:{address[1]}", "GW_NAME": "n1"}
+    with started(**env) as process:
+        assert line(process) == f"n1 serves at {HOST}:{address[1]}\n"
+        with socket.create_connection(address) as caller:
+            caller.sendall(b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\n"
+                           b"Content-Length: 0\r\n\r\n")  # fmt: skip
+            assert caller.recv(4096).startswith(b"SIP/2.0 200 ")
+        process.send_signal(signal.SIGUSR1)
+        assert "in.caller.OPTIONS=1" in line(process)
+        process.send_signal(signal.SIGTERM)
+        assert line(process).startswith("stopping")
+        assert "out.test=1" in line(process)
+        assert process.wait(20) == 0
+
+
+def test_the_sip_front_starts_from_the_operator_s_file(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "sip.toml").read_text()
+    for port in ("5060", "5353"):
+        text = text.replace(f"{HOST}:{port}", f"{HOST}:{free_port()}")
+    (tmp_path / "sip.toml").write_text(text)
+    zone = (ROOT / "deploy" / "callservers.zone").read_text()
+    (tmp_path / "callservers.zone").write_text(zone)
+    with started("--operator", str(tmp_path / "sip.toml")) as process:
+        assert "SIP served at" in line(process)
+    (tmp_path / "callservers.zone").write_text(zone.replace("127.0.0.2", "nowhere"))
+    with started("--operator", str(tmp_path / "sip.toml")) as process:
+        assert f"{tmp_path / 'callservers.zone'}:9:" in line(process)
+        assert process.wait(20) == 2
+
+
+def test_a_faulty_configuration_is_told_in_one_line() -> None:
+    with started(GW_CONFIG="/nowhere") as process:
+        assert line(process).startswith("reedmount: GW_CONFIG: ")
+        assert process.wait(20) == 2
+
+
+@pytest.mark.parametrize("key", ["run", "sim"])
+def test_what_the_deploy_file_starts_is_there(key: str) -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    module = deploy[key].rpartition("-m ")[2].replace(".", "/")
+    assert (ROOT / f"{module}.py").is_file() or (ROOT / module / "__main__.py").is_file()
+    assert all((ROOT / path).exists() for path in [*deploy["node"], *deploy["policy"]])
