--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 
 from reedmount import interface as i
 from reedmount.core.checks import COUNTERS
-from reedmount.core.ports import Listed
+from reedmount.core.ports import Listed, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.platform import Callers, CallServers
 from reedmount.sip.message import response
@@ -353,6 +353,25 @@
     """)
 
 
+def test_a_connection_on_which_nothing_is_heard_is_trusted_no_longer(stage: Platform) -> None:
+    """A machine that vanished and came back left its old connection open: set-ups went into it for ever."""
+
+    def setup(name: str) -> None:
+        stage.side.send(Setup(name, 0, "server", "small", "47", timedelta(seconds=9), b""))
+        stage.settle()
+
+    setup("c1")
+    stage.play("server expect INVITE c1")
+    old = stage.peers["server"].sock
+    stage.wait(timedelta(seconds=2))
+    setup("c2")
+    assert stage.peers["server"].sock is old
+    stage.play("server expect INVITE c2\n wait 1100")
+    setup("c3")
+    assert stage.peers["server"].sock is not old
+    stage.play("server expect INVITE c3")
+
+
 def test_malformed_input_costs_one_connection_only(stage: Platform) -> None:
     stage.peers["caller"].write(b"nonsense\r\n\r\n")
     stage.play("""
