Read the configuration again on SIGHUP, checked whole, and move the notice board under load

The numbers go on: the poll at the new address asks for what comes after the last event known. Ruled out: closing callers' connections, none is touched by a reload. Changed: signals are caught before the configuration is read (one that came amid the start would have killed); Node.reload reads and checks everything first, on a fault logs the key and keeps the old; settings, limits, board and connect time change at once, the SIP front takes its file, zone and policy the same way.

--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
@@ -38,23 +39,41 @@
         self._switch = Switch(loop, settings, seed)
         self._callers: Callers | None = None
         self._stopping = False
+        self._reread: Callable[[], None] = lambda: None
         self.where = ""
 
     @classmethod
-    def on_platform(cls, loop: Loop, config: Platform) -> Node:
+    def on_platform(cls, loop: Loop, read: Callable[[], Platform]) -> Node:
         """The platform's thin front and its notice board."""
+        config = read()
         made = cls(loop, config.settings, config.seed)
-        made._switch.attach(CallServers(loop, made._switch, config.connect_wait))
+        servers = CallServers(loop, made._switch, config.connect_wait)
+        made._switch.attach(servers)
         pool = Pool(made._switch)
         pool.start(config.known_last, config.known)
-        made._callers = Callers(loop, made._switch, config.listen, config.sockets - SPARE_SOCKETS)
-        made.where = f"{config.name} serves at {_text(made._callers.address)}"
-        Board(loop, config.board, pool)
+        callers = made._callers = Callers(loop, made._switch, config.listen, config.sockets - SPARE_SOCKETS)
+        made.where = f"{config.name} serves at {_text(callers.address)}"
+        board = Board(loop, config.board, pool)
+
+        def reread() -> None:
+            nonlocal config
+            old, config = config, read()
+            made._settle(config.settings)
+            servers.connect_wait = config.connect_wait
+            callers.most = config.sockets - SPARE_SOCKETS
+            pool.take(config.known_last, config.known)
+            if config.board != old.board:
+                board.move(config.board)
+            if (config.listen, config.name) != (old.listen, old.name):
+                log("listen and name are taken at the next start only")
+
+        made._reread = reread
         return made
 
     @classmethod
-    def with_sip(cls, loop: Loop, config: Operator) -> Node:
+    def with_sip(cls, loop: Loop, read: Callable[[], Operator]) -> Node:
         """The SIP front and the zone, as an operator's file sets them up."""
+        config = read()
         seed = int.from_bytes(os.urandom(8), "big")
         zone = load(config.zone, config.origin)
         made = cls(loop, config.settings, seed)
@@ -63,15 +82,50 @@
         pool = ZonePool(made._switch, zone, config.transports, config.zone if config.write_back else None)
         front.first_choice = pool.first_choice
         pool.start()
-        if config.updates is not None:
-            UpdateServer(loop, config.updates.listen, Master(zone, config.updates.policy, pool.changed))
+        master = Master(zone, config.updates.policy, pool.changed) if config.updates is not None else None
+        if config.updates is not None and master is not None:
+            UpdateServer(loop, config.updates.listen, master)
         made.where = f"SIP served at {_text(front.endpoint.address)}, zone {zone.origin}"
+
+        def reread() -> None:
+            nonlocal config
+            fresh = read()
+            records = load(fresh.zone, fresh.origin)
+            old, config = config, fresh
+            made._settle(config.settings)
+            front.settings = config.sip
+            pool.reload(records, config.transports, config.zone if config.write_back else None)
+            if master is not None and config.updates is not None:
+                master.reload(records, config.updates.policy)
+            places = [(item.sip.listen, item.sip.timers, item.updates and item.updates.listen)
+                      for item in (old, config)]  # fmt: skip
+            if places[0] != places[1]:
+                log("sip.listen, the timers and dns.update.listen are taken at the next start only")
+
+        made._reread = reread
         return made
 
+    def _settle(self, settings: i.Settings) -> None:
+        if settings != self._switch.settings:
+            self._switch.settle(settings)
+
+    def reload(self) -> None:
+        """Read the configuration again; it is taken whole, or one line says what is wrong with it."""
+        try:
+            self._reread()
+        except (ConfigError, ZoneError) as error:
+            COUNTERS.add("reload.refused")
+            log(f"configuration kept as it was: {error}")
+        else:
+            COUNTERS.add("reload.taken")
+            log("configuration read again")
+
     def signalled(self, number: int) -> None:
-        """SIGUSR1 prints the counters; SIGTERM and SIGINT end it once all is answered and released."""
+        """SIGUSR1 prints the counters, SIGHUP reads the configuration; the others end it when all is done."""
         if number == signal.SIGUSR1:
             log(f"counters: {COUNTERS.text()}")
+        elif number == signal.SIGHUP:
+            self.reload()
         elif not self._stopping:
             log("stopping: answering what still comes")
             self._stopping = True
@@ -90,21 +144,25 @@
     return f"{address[0]}:{address[1]}"
 
 
-def hear_signals(loop: Loop, node: Node) -> None:
-    """Signals reach the loop as bytes on a socket."""
+def catch_signals() -> socket.socket:
+    """From the first moment on signals are bytes on a socket, and end nothing by themselves."""
     inside, outside = socket.socketpair()
     inside.setblocking(False)
     outside.setblocking(False)
-    signal.set_wakeup_fd(outside.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+    signal.set_wakeup_fd(outside.detach(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, lambda *_: None)
+    return inside
+
 
+def hear_signals(loop: Loop, node: Node, inside: socket.socket) -> None:
+    """Give the signals that were caught to the node."""
     def ready(_: int) -> None:
         for number in inside.recv(64):
             node.signalled(number)
 
     loop.watch(inside.fileno(), READ, ready)
-    loop.keep = (inside, outside)
+    loop.keep = inside
 
 
 def main() -> int:
@@ -112,19 +170,20 @@
     parser = argparse.ArgumentParser(prog="reedmount", description="A border controller for call set-ups.")
     parser.add_argument("--operator", metavar="FILE", type=Path, help="serve SIP as this file says")
     operator: Path | None = parser.parse_args().operator
+    signals = catch_signals()
     loop = Loop(Clock())
     try:
         if operator is not None:
-            node = Node.with_sip(loop, read_operator(operator))
+            node = Node.with_sip(loop, lambda: read_operator(operator))
         else:
-            node = Node.on_platform(loop, read_platform(os.environ))
+            node = Node.on_platform(loop, lambda: read_platform(os.environ))
     except (ConfigError, ZoneError) as error:
         log(f"reedmount: {error}")
         return 2
     except OSError as error:
         log(f"reedmount: cannot listen: {error}")
         return 1
-    hear_signals(loop, node)
+    hear_signals(loop, node, signals)
     gc.freeze()
     gc.set_threshold(GC_AFTER)  # a collection of everything takes longer than a turn should
     log(node.where)
--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -156,13 +156,8 @@
     """The decisions of one proxy. It knows its settings and its own events, and nothing else."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self._settings = settings
+        self.settle(settings)
         self._random = random.Random(seed)
-        self._classes = {kind.name: kind for kind in settings.classes}
-        self._gap_us = settings.resend_gap_us or GAP_WITHOUT_RESENDS_US
-        self._high_us = HIGH_MARK * self._gap_us
-        self._low_us = LOW_MARK * self._high_us
-        self._tick_us = max(1, round(TICK_SHARE * self._high_us))
         self._servers: dict[str, Server] = {}
         self._calls: dict[int, Call] = {}
         self._held: dict[int, Call] = {}
@@ -171,7 +166,6 @@
         self._subscribed = False
         self._ticking = False
         self._quickest_us = self._high_us
-        self._quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants}
         self._tenant_rate: dict[str, Rate] = {}
         self._offered = Rate()  # first tries
         self._throughput: dict[int, Throughput] = {}  # by number: a replacement takes the old one's place
@@ -182,6 +176,16 @@
         self._seen: dict[Key, int] = {}
         self._actions: list[i.Action] = []
 
+    def settle(self, settings: i.Settings) -> None:
+        """Go by these settings from now on; a call keeps what held when it came."""
+        self._settings = settings
+        self._classes = {kind.name: kind for kind in settings.classes}
+        self._quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants}
+        self._gap_us = settings.resend_gap_us or GAP_WITHOUT_RESENDS_US
+        self._high_us = HIGH_MARK * self._gap_us
+        self._low_us = LOW_MARK * self._high_us
+        self._tick_us = max(1, round(TICK_SHARE * self._high_us))
+
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         """Take one event at clock time ``now`` and return what to do, in order."""
         self._actions = []
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -40,7 +40,7 @@
         self.settings = settings
         self._loop, self._clock = loop, loop.clock
         self._module = Controller(settings, seed)
-        self._inbox: Actor[i.Event] = Actor(loop, self._handle)
+        self._inbox: Actor[i.Event | i.Settings] = Actor(loop, self._handle)
         self._servers: Servers | None = None
         self._classes = {kind.name for kind in settings.classes}
         self._by_number: dict[int, Call] = {}
@@ -57,6 +57,12 @@
         """Have a front told of the release of a call that is not known here (we have restarted since)."""
         self._orphans.append(released)
 
+    def settle(self, settings: i.Settings) -> None:
+        """Go by new settings from now on; the calls that are here go on as they are."""
+        self.settings = settings
+        self._classes = {kind.name for kind in settings.classes}
+        self._inbox.post(settings)
+
     @property
     def clock(self) -> Clock:
         """The clock of all that is joined here."""
@@ -212,7 +218,10 @@
             raise RuntimeError("no server side is attached")
         return self._servers
 
-    def _handle(self, event: i.Event) -> None:
+    def _handle(self, event: i.Event | i.Settings) -> None:
+        if isinstance(event, i.Settings):
+            self._module.settle(event)
+            return
         for action in self._module.handle(micros(self._clock.now()), event):
             self._perform(action)
         if isinstance(event, i.CallerGone):
--- a/reedmount/dns/server.py
+++ b/reedmount/dns/server.py
@@ -38,8 +38,13 @@
         """The server of first choice for a number called."""
         return first_choice(self._found, number)
 
-    def changed(self, zone: dns.zone.Zone) -> None:
-        """An update has been taken. A new server may be cold: it counts as started now."""
+    def reload(self, zone: dns.zone.Zone, transports: Sequence[str], write_back: Path | None) -> None:
+        """The operator's file and the zone file have been read again: they hold from now on."""
+        self._transports, self._write_back = transports, write_back
+        self.changed(zone, saved=True)
+
+    def changed(self, zone: dns.zone.Zone, saved: bool = False) -> None:
+        """The zone is another. A new server may be cold: it counts as started now."""
         before, self._found = self._found, servers(zone, self._transports)
         now = self._switch.clock.now()
         news = [found.listed(serving=False) for name, found in before.items() if name not in self._found]
@@ -51,7 +56,7 @@
             self._version += 1
             self._switch.pool(self._version, i.ListKind.CHANGES, news)
         log(f"zone changed: {len(self._found)} call servers, {len(news)} of them news")
-        if self._write_back is not None:
+        if self._write_back is not None and not saved:
             try:
                 save(zone, self._write_back)
             except OSError as error:
--- a/reedmount/dns/update.py
+++ b/reedmount/dns/update.py
@@ -55,6 +55,11 @@
         self._origin: dns.name.Name = zone.origin
         self._policy, self._on_change = policy, on_change
 
+    def reload(self, zone: dns.zone.Zone, policy: Policy) -> None:
+        """Another zone file and policy have been read."""
+        if zone.origin is not None:
+            self.zone, self._origin, self._policy = zone, zone.origin, policy
+
     def answer(self, wire: bytes, source: str) -> bytes | None:
         """Take a message and answer it; what is no request at all gets no answer."""
         COUNTERS.add("dns.in")
--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -158,6 +158,12 @@
         self._timer: Timer | None = None
         self._actor.post(Tick())
 
+    def move(self, address: Address) -> None:
+        """The board is at another address from now on: the numbers go on, what is due is asked for there."""
+        self._address = address
+        self._lose()
+        self._actor.post(Tick())
+
     def _handle(self, word: Tick | Silence | Connection | tuple[Connection, End]) -> None:
         match word:
             case Tick():
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -298,7 +298,7 @@
     def __init__(self, loop: Loop, switch: Switch, address: Address, most: int) -> None:
         self.loop, self.switch = loop, switch
         self.stopping = False
-        self._most = most
+        self.most = most  # connections
         self._links: dict[Link, None] = {}
         self.homes: dict[str, Link] = {}  # where calls that stand were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
@@ -352,7 +352,7 @@
 
     def _accept(self, sock: socket.socket) -> None:
         COUNTERS.add("in.connections")
-        if len(self._links) >= self._most:
+        if len(self._links) >= self.most:
             # With calls that stand it is the way back to their callers; one that never had any goes first.
             idle = (link for link in self._links if not link.open and not link.standing)
             spare = min(idle, key=lambda link: (link.set_ups > 0, link.connection.heard_at), default=None)
@@ -722,7 +722,7 @@
     """The server side on the platform: it keeps an actor for each call server listed."""
 
     def __init__(self, loop: Loop, switch: Switch, connect_wait: timedelta) -> None:
-        self._loop, self._switch, self._connect_wait = loop, switch, connect_wait
+        self._loop, self._switch, self.connect_wait = loop, switch, connect_wait
         self._peers: dict[str, CallServer] = {}
 
     def listed(self, entries: list[Listed]) -> None:
@@ -732,7 +732,7 @@
             if peer is not None:
                 peer.post(entry)
             elif not entry.removed:
-                self._peers[entry.server] = CallServer(self._loop, self._switch, entry, self._connect_wait)
+                self._peers[entry.server] = CallServer(self._loop, self._switch, entry, self.connect_wait)
             if entry.removed:
                 self._peers.pop(entry.server, None)
 
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from datetime import timedelta
 from typing import Any
 
@@ -12,7 +13,7 @@
 from reedmount.core.ports import Listed
 from reedmount.core.switch import Switch
 from reedmount.fronts.board import Board, BoardError, Pool, read_notices
-from tests.scenario import Peer, Stage
+from tests.scenario import HOST, Peer, Stage
 from tests.support import SETTINGS
 
 
@@ -107,6 +108,21 @@
     assert stage.asked[-1] == "/board/poll?watch=1&linger=1000" and len(stage.asked) == 2
 
 
+def test_a_board_that_moves_is_asked_at_its_new_address_for_what_is_due() -> None:
+    """The old address says nothing more: the poll that was open there would hide a drain for seconds."""
+    stage = BoardStage()
+    stage.answer(2, notice(2, host("b", "DRAINING")))
+    assert stage.server.listener is not None
+    stage.server.listener.close()
+    stage.server.listener = socket.create_server((HOST, 0))
+    stage.server.listener.setblocking(False)
+    stage.board.move(stage.server.listener.getsockname())
+    stage.settle()
+    assert stage.asked[-1] == "/board/poll?watch=2&linger=1000"
+    stage.answer(3, notice(3, host("a", "DRAINING")))
+    assert stage.core.news[-1][2] == {"a": "drain"}
+
+
 def test_a_silent_board_is_dialled_again() -> None:
     """Its connection stays open when the machine is cut off: drains would go unheard for ever."""
     stage = BoardStage()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -393,7 +393,7 @@
 
 def test_callers_beyond_the_budget_push_out_idle_connections() -> None:
     stage = Platform("server")
-    stage.callers._most = 1
+    stage.callers.most = 1
     stage.play("""
         caller send OPTIONS t
         caller expect 200 t
@@ -406,7 +406,7 @@
 def test_a_connection_that_only_tested_hears_no_release_and_makes_room_for_others() -> None:
     """Clients that test once and stay pushed out those with calls, then got the releases: nobody heard."""
     stage = Platform("server")
-    stage.callers._most = 2
+    stage.callers.most = 2
     stage.peer("late", "thin", stage.callers.address)
     stage.play(STANDS + """
         other send OPTIONS t
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -77,6 +77,36 @@
         assert process.wait(20) == 0
 
 
+def test_sighup_moves_the_board_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    """SIGHUP ended the program, under load and more than once a day."""
+    boards = [socket.create_server((HOST, 0)) for _ in range(3)]
+    names = [f"{HOST}:{board.getsockname()[1]}" for board in boards]
+
+    def asked(board: socket.socket) -> bytes:
+        board.settimeout(20)
+        connection, _ = board.accept()
+        with connection:
+            return connection.recv(4096).split(b" ")[1]
+
+    platform(tmp_path, board=names[0])
+    path = tmp_path / "config.json"
+    with started(GW_CONFIG=str(path), GW_LISTEN=f"{HOST}:0") as process:
+        line(process)
+        assert asked(boards[0]).startswith(b"/board/poll?watch=1&")
+        path.write_text(path.read_text().replace('"sockets": 1024', '"sockets": "many"'))
+        process.send_signal(signal.SIGHUP)
+        assert "limits.sockets" in line(process)
+        for number in (1, 2):
+            platform(tmp_path, board=names[number])
+            process.send_signal(signal.SIGHUP)
+            assert asked(boards[number]).startswith(b"/board/poll?watch=1&")
+            assert line(process) == "configuration read again\n"
+        process.send_signal(signal.SIGUSR1)
+        assert "reload.refused=1 reload.taken=2" in line(process)
+    for board in boards:
+        board.close()
+
+
 def test_the_sip_front_starts_from_the_operator_s_file(tmp_path: Path) -> None:
     text = (ROOT / "deploy" / "sip.toml").read_text()
     for port in ("5060", "5353"):
@@ -86,6 +116,14 @@
     (tmp_path / "callservers.zone").write_text(zone)
     with started("--operator", str(tmp_path / "sip.toml")) as process:
         assert "SIP served at" in line(process)
+        (tmp_path / "sip.toml").write_text(text.replace("t1_ms", "t9_ms"))
+        process.send_signal(signal.SIGHUP)
+        assert "sip.t9_ms is not known" in line(process)
+        (tmp_path / "sip.toml").write_text(text)
+        (tmp_path / "callservers.zone").write_text(zone.replace("_sip._udp", "_sip._sctp"))
+        process.send_signal(signal.SIGHUP)
+        said = line(process) + line(process) + line(process)
+        assert "zone changed: 2 call servers, 1 of them news" in said and "read again" in said
     (tmp_path / "callservers.zone").write_text(zone.replace("127.0.0.2", "nowhere"))
     with started("--operator", str(tmp_path / "sip.toml")) as process:
         assert f"{tmp_path / 'callservers.zone'}:9:" in line(process)
