--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -21,7 +21,8 @@
 from reedmount.dns.update import Master
 from reedmount.dns.zone import ZoneError, load
 from reedmount.fronts.board import Board, Pool
-from reedmount.fronts.platform import Callers, CallServers
+from reedmount.fronts.lanes import CallServers
+from reedmount.fronts.platform import Callers
 from reedmount.fronts.sip import SipFront, SipServers
 from reedmount.net.loop import READ, Loop
 
@@ -29,6 +30,7 @@
 LOOK_AGAIN = timedelta(milliseconds=200)
 GC_AFTER = 50_000
 SPARE_SOCKETS = 64  # for call servers, the board, logs
+OWN_SOCKETS = 16  # of them: all but those to call servers
 
 
 class Node:
@@ -47,7 +49,7 @@
         """The platform's thin front and its notice board."""
         config = read()
         made = cls(loop, config.settings, config.seed)
-        servers = CallServers(loop, made._switch, config.connect_wait)
+        servers = CallServers(loop, made._switch, config.connect_wait, SPARE_SOCKETS - OWN_SOCKETS)
         made._switch.attach(servers)
         pool = Pool(made._switch)
         pool.start(config.known_last, config.known)
@@ -130,7 +132,7 @@
             log("stopping: answering what still comes")
             self._stopping = True
             if self._callers is not None:
-                self._callers.stopping = True
+                self._callers.stopping_since = self._loop.clock.now()
             self._loop.after(STILL_COMING, self._end_when_quiet)
 
     def _end_when_quiet(self) -> None:
--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -26,6 +26,9 @@
 LONGEST_HOLD_OFF = 4.0  # of the plain hold-off
 WRONG_WEIGHT = 0.25  # of the newest answer in the share of wrong ones
 WRONG_MARK = 0.65  # of answers wrong raises the flag, as four in a row do: half a server is worth having
+FAULTS_AT_TWO, FAULTS_MOST = 2, 3  # servers, or tries, with a fault each: it is the call that is at fault
+RESETS_IN_A_ROW = 3  # with nothing that stood between them, raise the flag: one connection may break anywhere
+PLACES_MOST = 64  # whose throughput is remembered
 WRONG_FORGIVEN = 0.5  # of that share is left when the flag drops, so that the server is tried again
 WINDOW_START = 2.0  # set-ups unanswered at one server before its delay is known
 WINDOW_LEAST = 1.0
@@ -116,6 +119,7 @@
     sent_us: int = 0
     not_before_us: int = 0
     may_have_run: bool = False
+    faults: list[str] = field(default_factory=list)  # the servers that answered it with a fault
 
     @property
     def unsafe(self) -> bool:
@@ -137,7 +141,8 @@
     flagged: bool = False
     hold_off_until_us: int = 0
     failures: int = 0
-    wrong: float = 0.0  # share of the latest answers that were faults
+    wrong: float = 0.0  # share of the latest answers that were faults of its own
+    resets: int = 0  # since the last call that stood
     gauge_us: float = 0.0
     reading_us: int = 0  # the newest reading
     reading_at_us: int = -1
@@ -230,6 +235,19 @@
                 server.serving = server.serving and server.id in named
         for entry in news.entries:
             self._on_entry(now, entry)
+        gone = {entry.server for entry in news.entries if entry.state is i.ServerState.REMOVED}
+        if news.kind is not i.ListKind.CHANGES:
+            gone |= self._servers.keys() - named
+        for server_id in gone & self._servers.keys():
+            # Replacements come under new ids all day long: what is gone is not looked at for ever.
+            del self._servers[server_id]
+        if self._last_took is not None and self._last_took.id in gone:
+            self._last_took = None
+        for number in [number for number in self._throughput if number not in self._places()][:-PLACES_MOST]:
+            del self._throughput[number]
+
+    def _places(self) -> set[int]:
+        return {server.number for server in self._servers.values()}
 
     def _on_entry(self, now: int, entry: i.ServerEntry) -> None:
         server = known = self._servers.get(entry.server)
@@ -324,6 +342,9 @@
         if call is not None:
             self._seen.pop((call.kind.name, call.tenant, call.number), None)
             server.answered_sent_us = max(server.answered_sent_us, call.sent_us)
+            for faulty in call.faults:
+                self._blame(now, self._servers.get(faulty))
+        server.resets = 0
         server.stood.add(now)
         filled = len(server.unanswered) >= int(server.window)
         server.unanswered.pop((event.call, event.attempt), None)
@@ -372,6 +393,10 @@
             call.may_have_run = True
         if event.cause is i.Cause.NUMBER_BUSY and call.number is not None:
             self._bar_number(now, call.number)
+        elif event.outcome is i.Outcome.FAILED:
+            call.faults.append(event.server)
+            if call.unsafe:  # it goes nowhere else, so nothing more will be learnt of it
+                self._blame(now, server)
         self._end_if_hopeless(now, call)
 
     def _bar_number(self, now: int, number: str) -> None:
@@ -387,22 +412,30 @@
     def _learn_from_end(self, now: int, server: Server, event: i.AttemptEnded) -> None:
         server.unanswered.pop((event.call, event.attempt), None)
         server.hung.pop((event.call, event.attempt), None)
-        if event.outcome is i.Outcome.FAILED and event.cause is not i.Cause.NUMBER_BUSY:
-            # A server that answers quickly but wrongly must not attract calls; one rare fault bars none.
-            server.wrong += WRONG_WEIGHT * (1 - server.wrong)
         if event.cause is i.Cause.NO_LINE and event.outcome is i.Outcome.FULL:
             # Not asked again at once: calls would spend all their attempts here within milliseconds.
             server.told_empty = True
             pause_us = max(self._low_us, self._trial_spacing_us(now, server))
             server.empty_until_us = now + round(pause_us * self._random.uniform(1, 2))
-        elif event.outcome in (i.Outcome.FULL, i.Outcome.UNREACHABLE, i.Outcome.RESET) or (
-            event.outcome is i.Outcome.FAILED and server.wrong > WRONG_MARK
-        ):
+        elif event.outcome in (i.Outcome.FULL, i.Outcome.UNREACHABLE, i.Outcome.RESET):
             # Counted once while the flag is up: a crash cuts dozens of calls at once and is one failure.
-            server.failures += not server.flagged and event.outcome is not i.Outcome.FAILED
-            self._raise_flag(now, server)
+            server.resets += event.outcome is i.Outcome.RESET
+            if event.outcome is not i.Outcome.RESET or server.resets >= RESETS_IN_A_ROW:
+                server.failures += not server.flagged
+                self._raise_flag(now, server)
         self._on_report(now, server, event.report)
 
+    def _blame(self, now: int, server: Server | None) -> None:
+        """A call that it answered with a fault stands now: the fault was the server's and not the call's.
+
+        One that answers quickly but wrongly must not attract calls; one rare fault bars none. A fault by
+        itself says nothing: calls that no server can take come in bursts, and would bar every server in turn.
+        """
+        if server is not None:
+            server.wrong += WRONG_WEIGHT * (1 - server.wrong)
+            if server.wrong > WRONG_MARK:
+                self._raise_flag(now, server)
+
     # --- readings and the flag ---
 
     def _on_report(self, now: int, server: Server | None, report: i.LoadReport) -> None:
@@ -566,6 +599,8 @@
         """Route the call; a cold server that may not take it counts as barred for this call."""
         allowed = call.kind.servers
         able = [server for server in open_servers if allowed is None or server.number in allowed]
+        if call.faults:  # elsewhere, if there is an elsewhere
+            able = [server for server in able if server.id not in call.faults] or able
         while (server := self._route(call, able)) is not None:
             if self._is_late(now, call) and (server.unanswered or server.gauge_us > self._low_us):
                 return None  # a late call takes only what would lie idle: it would delay those in time
@@ -645,7 +680,8 @@
         caller hears at once. Keeping it to the end of the caller's time would only put the redial off.
         """
         earliest = max(now, call.not_before_us)
-        spent = call.attempts >= self._settings.max_attempts
+        spent = call.attempts >= self._settings.max_attempts or len(call.faults) >= FAULTS_MOST
+        spent = spent or len(set(call.faults)) >= FAULTS_AT_TWO
         waited = now >= max(call.aim_at_us, call.held_us + HOLD * self._gap_us)
         over = earliest + ANSWER_MARGIN * self._tick_us >= call.answer_by_us
         if not (spent or call.unsafe or waited or over):
--- a/reedmount/core/checks.py
+++ b/reedmount/core/checks.py
@@ -41,6 +41,24 @@
     return cond
 
 
-def log(text: str) -> None:
-    """One line for the staff, on standard error."""
+SAID: Counter[str] = Counter()
+SAID_IN_FULL = 8
+KINDS = 256
+
+
+def log(text: str, kind: str = "") -> None:
+    """One line for the staff, on standard error.
+
+    Of a kind that input can bring about at will only the first few are said, and then every time their number
+    has doubled: a log that grows with what comes in fills the disk.
+    """
+    if kind:
+        if kind not in SAID and len(SAID) >= KINDS:
+            kind = "other"
+        SAID[kind] += 1
+        count = SAID[kind]
+        if count > SAID_IN_FULL and count & (count - 1):
+            return
+        if count > SAID_IN_FULL:
+            text = f"{text} ({count} of its kind so far)"
     print(text, file=sys.stderr, flush=True)
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -42,7 +42,7 @@
         self._module = Controller(settings, seed)
         self._inbox: Actor[i.Event | i.Settings] = Actor(loop, self._handle)
         self._servers: Servers | None = None
-        self._classes = {kind.name for kind in settings.classes}
+        self.classes = {kind.name: kind for kind in settings.classes}
         self._by_number: dict[int, Call] = {}
         self._by_name: dict[str, Call] = {}
         self._next = 1
@@ -60,9 +60,13 @@
     def settle(self, settings: i.Settings) -> None:
         """Go by new settings from now on; the calls that are here go on as they are."""
         self.settings = settings
-        self._classes = {kind.name for kind in settings.classes}
+        self.classes = {kind.name: kind for kind in settings.classes}
         self._inbox.post(settings)
 
+    def knows(self, name: str) -> bool:
+        """Whether a call of this name is here, or was lately."""
+        return name in self._by_name or name in self._over
+
     @property
     def clock(self) -> Clock:
         """The clock of all that is joined here."""
@@ -82,7 +86,7 @@
 
     def offer(self, offer: Offer, caller: Caller) -> bool:
         """A new call. False where its name is known already or its class is not: the front answers that."""
-        if offer.name in self._by_name or offer.call_class not in self._classes:
+        if offer.name in self._by_name or offer.call_class not in self.classes:
             COUNTERS.add("calls.not_taken")
             return False
         COUNTERS.add("calls.taken")
@@ -245,7 +249,7 @@
             case i.SetTimer(name, after_us):
                 self._loop.after(span(after_us), lambda: self._inbox.post(i.TimerFired(name)))
             case i.Log(text):
-                log(text)
+                log(text, text.partition(" ")[2])  # without the server's name
             case i.Subscribe():
                 pass  # the pool's news comes by itself
 
@@ -279,7 +283,7 @@
         if late > ZERO:
             COUNTERS.add("answered.overdue")
             held = self._clock.now() - call.taken_at
-            log(f"overdue: {call.offer.name} {what} {late} late, taken {held} ago")
+            log(f"overdue: {call.offer.name} {what} {late} late, taken {held} ago", "overdue")
         self._settle(call)
         answer(call)
 
--- /dev/null
+++ b/reedmount/fronts/lanes.py
@@ -0,0 +1,606 @@
+"""The platform's call servers: an actor for each, and its connections, the lanes."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from reedmount import interface as i
+from reedmount.core.checks import COUNTERS, log
+from reedmount.core.clock import whole_millis
+from reedmount.core.ports import CUT, CancelSetup, Listed, Release, Setup
+from reedmount.core.switch import NO_REPORT, Switch
+from reedmount.fronts.thin import CAUSES, ID, OUTCOMES, bye, cause_of, plain, report_of, sound
+from reedmount.net.connection import Address, Connection, End
+from reedmount.net.loop import Actor, Loop, Timer
+from reedmount.sip.framing import next_message
+from reedmount.sip.message import Message, SipError, request, response
+
+UNHEARD = timedelta(seconds=3)  # silence after which an open connection is no longer trusted
+STOPPED_SHORT = timedelta(milliseconds=250)  # no more of a message that has begun: the rest never comes
+RETIRED_FOR = timedelta(milliseconds=1500)  # a lane that is used no more still hears what was on its way
+SPARE_AFTER = timedelta(seconds=10)  # a lane of a crowded server is tried again
+FIRST_RETRY, LAST_RETRY = timedelta(milliseconds=100), timedelta(seconds=1)
+MOVES = 2  # how often a set-up that was not sent goes to another lane
+LANES = 8
+KEPT_PAST = 1024  # names of attempts that were given up, for each server
+START_LINES = (b"SIP/2.0 ", b"INVITE ", b"ACK ", b"BYE ", b"CANCEL ", b"OPTIONS ", b"NOTIFY ")
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A set-up at a call server: queued, then sent, then perhaps being called off."""
+
+    setup: Setup
+    timer: Timer
+    uri: str
+    lane: Lane | None = None
+    sent_at: datetime | None = None
+    ending: bool = False
+    moves: int = 0
+
+    @property
+    def via(self) -> str:
+        """What tells the attempts of one call apart, where the server gives it back.
+
+        The number in CSeq does not: call servers answer every set-up as number 1, and the answers to second
+        attempts were passed over for it.
+        """
+        return f"SIP/2.0/TCP reedmount;branch=z9hG4bK{self.setup.name}.{self.setup.attempt}"
+
+    def answered_by(self, message: Message, lane: Lane) -> bool:
+        """Whether this is its answer, and not one to an earlier attempt of the same call."""
+        given = message.get("Via")
+        ours = given is None or "branch=" not in given or given == self.via
+        return ours and self.lane is lane and self.sent_at is not None and not self.ending
+
+
+@dataclass(slots=True, eq=False)
+class Outgoing:
+    """A message that has not begun to be written."""
+
+    data: bytes
+    counter: str
+    written: Callable[[], None] | None = None
+    attempt: Attempt | None = None  # a set-up, which a drain takes back
+
+
+@dataclass(frozen=True, slots=True)
+class Up:
+    """The connection is up, or has written all it had."""
+
+    lane: Lane
+
+
+@dataclass(frozen=True, slots=True)
+class Data:
+    """Bytes have come."""
+
+    lane: Lane
+
+
+@dataclass(frozen=True, slots=True)
+class Down:
+    """A connection has ended."""
+
+    lane: Lane
+    how: End
+
+
+class Lane:
+    """One connection to a call server. A set-up has one to itself while there is room.
+
+    What spoils one answer, noise, a wrong length, an end amid it, spoils all that is open on its connection.
+    """
+
+    def __init__(self, server: CallServer, connect_wait: timedelta) -> None:
+        self.outbox: deque[Outgoing] = deque()
+        self.attempts: dict[str, Attempt] = {}  # queued or sent here
+        self.answered: deque[str] = deque(maxlen=16)  # a second copy may follow
+        self.part: bytes | None = None  # what has come of the next message
+        self.writing: Callable[[], None] | None = None
+        self._clock = server.loop.clock
+        self.connection = Connection.dial(
+            server.loop, server.address, connect_wait,
+            lambda _: server.post(Data(self)),
+            lambda _, how: server.post(Down(self, how)),
+            lambda _: server.post(Up(self)),
+        )  # fmt: skip
+
+    @property
+    def free(self) -> bool:
+        """Whether it is up and nothing is open or waits on it."""
+        return self.connection.up and not self.attempts and not self.outbox
+
+    def queue(self, item: Outgoing, first: bool = False) -> None:
+        """Put it in line; a message begins to be written only once those before it are wholly out."""
+        if first:
+            self.outbox.appendleft(item)
+        else:
+            self.outbox.append(item)
+        self.pump()
+
+    def pump(self) -> None:
+        """Write what can be written."""
+        while self.outbox and self.connection.idle and self.writing is None:
+            item = self.outbox.popleft()
+            COUNTERS.add(item.counter)
+            self.writing = item.written or (lambda: None)
+            if item.attempt is not None:
+                item.attempt.sent_at = self._clock.now()
+            self.connection.send(item.data)
+            if self.connection.idle:
+                self.finish_write()
+
+    def finish_write(self) -> None:
+        """What was being written is out."""
+        done, self.writing = self.writing, None
+        if done is not None:
+            done()
+
+    def unsent(self, attempt: Attempt) -> Outgoing | None:
+        """Take back a set-up that has not begun to be written."""
+        item = next((item for item in self.outbox if item.attempt is attempt), None)
+        if item is not None:
+            self.outbox.remove(item)
+            self.attempts.pop(attempt.setup.name, None)
+        return item
+
+
+Word = Setup | CancelSetup | Release | Listed | Up | Data | Down
+
+
+class CallServer:
+    """The actor of one call server: its lanes, what is queued for it and what is out there."""
+
+    def __init__(
+        self, loop: Loop, switch: Switch, entry: Listed, connect_wait: timedelta, lanes: int = LANES
+    ) -> None:
+        self.loop, self._switch, self._entry = loop, switch, entry
+        self._connect_wait = connect_wait
+        self._actor: Actor[Word] = Actor(loop, self._handle)
+        self.post = self._actor.post
+        self._lanes: list[Lane] = []
+        self._retired: list[Lane] = []  # no longer trusted; set-ups may still be open there
+        self._most, self._room = lanes, lanes
+        self._attempts: dict[str, Attempt] = {}
+        self._past: dict[str, None] = {}  # attempts that were given up: a late answer is released
+        self._late_byes: deque[Outgoing] = deque(maxlen=KEPT_PAST)  # for which no connection was to be had
+        self._standing: dict[str, Lane] = {}
+        self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
+        self._retry = FIRST_RETRY
+        self._retrying = False
+        if entry.serving:
+            self._dial()  # a state of its lines, and releases from before a restart, come first on it
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return self._entry.address
+
+    def _handle(self, word: Word) -> None:
+        match word:
+            case Setup():
+                self._setup(word)
+            case CancelSetup(name, number):
+                attempt = self._attempts.get(name)
+                if attempt is not None and attempt.setup.attempt == number:
+                    self._call_off(attempt, i.Outcome.CANCELLED)
+            case Release(name, cause):
+                self._release(name, cause)
+            case Listed():
+                self._news(word)
+            case Up(lane):
+                self._up(lane)
+            case Data(lane):
+                self._read(lane)
+            case Down(lane, how):
+                self._down(lane, how)
+
+    # --- the list ---
+
+    def _news(self, entry: Listed) -> None:
+        known, self._entry = self._entry, entry
+        if entry.started is not None and (known.started is None or entry.started > known.started):
+            # A restart behind the same name: what stood at the old process is gone with it.
+            self._switch.server_lost(entry.server, entry.started)
+        if entry.serving:
+            return
+        for attempt in [attempt for attempt in self._attempts.values() if attempt.sent_at is None]:
+            if attempt.lane is not None:
+                attempt.lane.unsent(attempt)
+            self._end(attempt, i.Outcome.NOT_SENT)
+        if entry.removed:
+            self._switch.server_lost(entry.server)
+            self._abandon()
+
+    def _abandon(self) -> None:
+        """The machine is gone: nothing will be heard on its connections."""
+        lanes, self._lanes, self._retired = [*self._lanes, *self._retired], [], []
+        self._standing.clear()
+        self._late_byes.clear()
+        for lane in lanes:
+            lane.connection.close()
+            lane.outbox.clear()
+        for attempt in list(self._attempts.values()):
+            self._end(attempt, i.Outcome.RESET)
+
+    # --- what goes out ---
+
+    def _setup(self, setup: Setup) -> None:
+        timer = self.loop.after(setup.give_up, lambda: self._expire(setup))
+        attempt = Attempt(setup, timer, f"sip:{setup.number}@net")
+        self._attempts[setup.name] = attempt
+        if not self._entry.serving:
+            self._end(attempt, i.Outcome.NOT_SENT)
+            return
+        headers = [
+            ("Via", attempt.via),
+            ("Call-ID", setup.name),
+            ("CSeq", "1 INVITE"),
+            ("X-Cos", setup.call_class),
+            ("X-Timer-Ms", str(whole_millis(setup.give_up))),
+        ]
+        data = request("INVITE", attempt.uri, headers, setup.description).encode()
+        self._doubt()
+        self._place(Outgoing(data, "out.server.INVITE", attempt=attempt), attempt)
+
+    def _place(self, item: Outgoing, attempt: Attempt) -> None:
+        """Give a set-up a lane: a free one, else a new one, else the one with the fewest open."""
+        name = attempt.setup.name
+        able = [lane for lane in self._lanes if name not in lane.answered]
+        free = (lane for lane in able if lane.free)
+        lane = max(free, key=lambda lane: lane.connection.heard_at, default=None)
+        if lane is None and len(self._lanes) < self._room + (not able):
+            lane = self._dial()
+        if lane is None:
+            lane = min(able, key=lambda lane: (not lane.connection.up, len(lane.attempts)), default=None)
+        if lane is None:
+            self._end(attempt, i.Outcome.UNREACHABLE)
+            return
+        attempt.lane = lane
+        lane.attempts[name] = attempt
+        lane.queue(item)
+
+    def _doubt(self) -> None:
+        """A lane on which a set-up hangs and nothing comes may be to a machine that has vanished."""
+        since = self.loop.clock.now() - UNHEARD
+        for lane in [lane for lane in self._lanes if lane.connection.up and lane.connection.heard_at < since]:
+            if any(attempt.sent_at and attempt.sent_at < since for attempt in lane.attempts.values()):
+                COUNTERS.add("server.silent")
+                self._retire(lane)
+
+    def _retire(self, lane: Lane) -> None:
+        """Send no more set-ups there; close it once all is ended and what was on its way is heard."""
+        if lane in self._lanes:
+            COUNTERS.add("server.retired")
+            self._lanes.remove(lane)
+            self._retired.append(lane)
+            self.loop.after(RETIRED_FOR, lambda: self._close_retired(lane))
+
+    def _close_retired(self, lane: Lane) -> None:
+        if lane not in self._retired:
+            return
+        if lane.attempts and not lane.connection.ended:
+            self.loop.after(RETIRED_FOR, lambda: self._close_retired(lane))
+            return
+        self._retired.remove(lane)
+        self._unload(lane)
+        lane.connection.close()
+
+    def _expire(self, setup: Setup) -> None:
+        attempt = self._attempts.get(setup.name)
+        if attempt is not None and attempt.setup is setup:
+            self._call_off(attempt, i.Outcome.TIMED_OUT)
+
+    def _call_off(self, attempt: Attempt, outcome: i.Outcome) -> None:
+        """Write the CANCEL; the attempt is out until that is done, or its time is up."""
+        lane = attempt.lane
+        if lane is None or lane.unsent(attempt) is not None:
+            self._end(attempt, outcome)
+            return
+        if not attempt.ending:
+            attempt.ending = True
+            data = plain("CANCEL", attempt.uri, attempt.setup.name, attempt.via)
+            lane.queue(Outgoing(data, "out.server.CANCEL", lambda: self._end(attempt, outcome)), first=True)
+            self._judge(lane, attempt, outcome)
+        if outcome is i.Outcome.TIMED_OUT:
+            self._end(attempt, outcome)
+
+    def _judge(self, lane: Lane, attempt: Attempt, outcome: i.Outcome) -> None:
+        """A lane whose answer never came in its time, or was overtaken by others, is of no further use.
+
+        It stays open where an answer stopped short or never came: set-ups sent there next would hang as well.
+        """
+        sent, answered = attempt.sent_at, self._answered_sent_at
+        overtaken = sent is not None and answered is not None and answered > sent
+        if overtaken or outcome is i.Outcome.TIMED_OUT:
+            self._retire(lane)
+
+    def _end(self, attempt: Attempt, outcome: i.Outcome, message: Message | None = None) -> None:
+        name = attempt.setup.name
+        if self._attempts.get(name) is not attempt:
+            return
+        del self._attempts[name]
+        self._let_go(attempt)
+        if message is None and attempt.sent_at is not None:
+            self._past[name] = None
+            if len(self._past) > KEPT_PAST:
+                del self._past[next(iter(self._past))]
+        cause, report = i.Cause.NONE, NO_REPORT
+        if message is not None:
+            note = message.get("X-Diagnosis") or ""
+            cause = CAUSES.get(note, i.Cause.OTHER if note else i.Cause.NONE)
+            report = report_of(message)
+        self._switch.ended(name, attempt.setup.attempt, outcome, cause, report)
+
+    def _let_go(self, attempt: Attempt) -> None:
+        """Nothing more is open for it; its lane may take one that waits for a connection to come up."""
+        attempt.timer.cancel()
+        lane = attempt.lane
+        if lane is None:
+            return
+        lane.attempts.pop(attempt.setup.name, None)
+        if lane in self._lanes and lane.free:
+            for other in self._lanes:
+                waiting = next((a for a in other.attempts.values() if a.sent_at is None), None)
+                if waiting is not None and other is not lane and waiting.setup.name not in lane.answered:
+                    item = other.unsent(waiting)
+                    if item is not None:
+                        waiting.lane = lane
+                        lane.attempts[waiting.setup.name] = waiting
+                        lane.queue(item)
+                        return
+
+    def _release(self, name: str, cause: int) -> None:
+        lane = self._standing.pop(name, None)
+        self._say(Outgoing(bye(name, cause), "out.server.BYE"), lane)
+
+    def _say(self, item: Outgoing, lane: Lane | None = None) -> None:
+        """Send what concerns a call that stands on its lane, else on any."""
+        if lane is None or lane not in self._lanes:
+            up = [lane for lane in self._lanes if lane.connection.up]
+            lane = min(up or self._lanes, key=lambda lane: len(lane.attempts), default=None)
+        if lane is None and not self._retrying:
+            lane = self._dial()
+        if lane is not None:
+            lane.queue(item)
+        else:
+            self._late_byes.append(item)
+
+    # --- connections ---
+
+    def _dial(self) -> Lane | None:
+        if self._entry.removed:
+            return None
+        COUNTERS.add("server.connects")
+        try:
+            lane = Lane(self, self._connect_wait)
+        except OSError as error:
+            COUNTERS.add("server.no_socket")
+            log(f"{self._entry.server}: {error}")
+            return None
+        self._lanes.append(lane)
+        late, self._late_byes = self._late_byes, deque(maxlen=KEPT_PAST)
+        for item in late:
+            lane.queue(item)
+        return lane
+
+    def _up(self, lane: Lane) -> None:
+        self._retry = FIRST_RETRY
+        if lane.connection.idle:
+            lane.finish_write()
+            lane.pump()
+
+    def _down(self, lane: Lane, how: End) -> None:
+        """A connection has ended: what was open on it is reset, what was not sent goes another way."""
+        known = lane in self._lanes
+        if known:
+            self._lanes.remove(lane)
+        elif lane in self._retired:
+            self._retired.remove(lane)
+        else:
+            return
+        never = how in (End.REFUSED, End.NEVER_UP)
+        # One closed as soon as it is up, by a server that holds all it accepts, is no connection either.
+        brief = self.loop.clock.now() - lane.connection.opened_at < FIRST_RETRY
+        others = any(other.connection.up for other in self._lanes)
+        if known and (never or brief) and others:
+            self._room = max(1, len(self._lanes))  # it accepts no more just now
+            self.loop.after(SPARE_AFTER, self._widen)
+        if how is End.REFUSED and known and not others and self._standing:
+            # Its process is gone, and with it the calls that stood there.
+            self._standing.clear()
+            self._switch.server_lost(self._entry.server)
+        lane.finish_write()
+        for attempt in [attempt for attempt in lane.attempts.values() if attempt.sent_at is not None]:
+            self._end(attempt, i.Outcome.RESET)
+        self._unload(lane, never and not others)
+        if known and not never and not brief:
+            # Releases that were on their way there come again on the next connection that opens.
+            if len(self._lanes) < self._room and (self._entry.serving or self._standing or self._late_byes):
+                self._dial()
+        elif not self._lanes and (self._standing or self._late_byes):
+            self._connect_later()
+
+    def _unload(self, lane: Lane, unreachable: bool = False) -> None:
+        """Take what waits on a lane that is no more to another; a refused connection proves that none ran."""
+        items, lane.outbox = list(lane.outbox), deque()
+        for item in items:
+            attempt = item.attempt
+            if attempt is None:
+                if item.written is None:
+                    self._late_byes.append(item)  # a CANCEL has nothing to stop any more
+                else:
+                    item.written()
+                continue
+            lane.attempts.pop(attempt.setup.name, None)
+            attempt.moves += 1
+            if unreachable or attempt.moves > MOVES:
+                self._end(attempt, i.Outcome.UNREACHABLE)
+            else:
+                self._place(item, attempt)
+        if self._late_byes and self._lanes:
+            late, self._late_byes = self._late_byes, deque(maxlen=KEPT_PAST)
+            for item in late:
+                self._say(item)
+
+    def _widen(self) -> None:
+        self._room = self._most
+
+    def _connect_later(self) -> None:
+        """Calls stand there, or releases wait: come back, ever more slowly."""
+        if self._retrying:
+            return
+        self._retrying = True
+        self.loop.after(self._retry, self._again)
+        self._retry = min(2 * self._retry, LAST_RETRY)
+
+    def _again(self) -> None:
+        self._retrying = False
+        if (self._late_byes or self._standing) and not self._lanes:
+            self._dial()
+
+    # --- what comes in ---
+
+    def _read(self, lane: Lane) -> None:
+        ring = lane.connection.incoming
+        while not lane.connection.ended:
+            try:
+                message = next_message(ring)
+                if message is None:
+                    break
+                if message.body and len(ring) and not _may_begin(ring.peek(16)):
+                    # Its length does not fit: what is left over belongs to it, or part of it to the next.
+                    raise SipError(400, "more than its length says")
+                self._take(lane, message)
+            except SipError as error:
+                self._break(lane, str(error))
+                return
+        lane.part = ring.peek() if len(ring) else None
+        if lane.part is not None:
+            part = lane.part
+            self.loop.after(STOPPED_SHORT, lambda: self._stopped_short(lane, part))
+
+    def _stopped_short(self, lane: Lane, part: bytes) -> None:
+        if lane.part is part and not lane.connection.ended:
+            self._break(lane, "a message stopped short")
+
+    def _break(self, lane: Lane, why: str) -> None:
+        """What comes there makes no sense any more."""
+        COUNTERS.add("in.server.spoilt")
+        log(f"{self._entry.server}: {why}", kind="spoilt")
+        lane.connection.close()
+        self._down(lane, End.RESET)
+
+    def _take(self, lane: Lane, message: Message) -> None:
+        if not message.is_request:
+            if message.cseq[1] == "INVITE" and message.status >= 200:
+                self._answer(lane, message)
+            return
+        COUNTERS.add(f"in.server.{message.method if message.method in ('BYE', 'NOTIFY') else 'other'}")
+        if message.method == "NOTIFY":
+            report = report_of(message)
+            if report is not NO_REPORT:
+                self._switch.reported(self._entry.server, report)
+        elif message.method == "BYE":
+            lane.connection.send(response(message, 200).encode())
+            if ID.fullmatch(message.call_id):
+                self._standing.pop(message.call_id, None)
+                self._switch.server_released(message.call_id, cause_of(message), report_of(message))
+        elif message.method != "ACK":
+            lane.connection.send(response(message, 501).encode())
+
+    def _answer(self, lane: Lane, message: Message) -> None:
+        name = message.call_id
+        attempt = self._attempts.get(name)
+        if attempt is None or not attempt.answered_by(message, lane):
+            self._unasked(lane, message, name)
+            return
+        COUNTERS.add(f"in.server.{message.status}")
+        if message.status < 300 and not sound(message.body):
+            raise SipError(400, "a description that is not lines of text")
+        lane.answered.append(name)
+        lane.connection.send(plain("ACK", attempt.uri, name))
+        if attempt.sent_at is not None:
+            self._answered_sent_at = max(attempt.sent_at, self._answered_sent_at or attempt.sent_at)
+        if message.status >= 300:
+            self._end(attempt, OUTCOMES.get(message.status, i.Outcome.FAILED), message)
+            return
+        del self._attempts[name]
+        stands = self._switch.stands(name, attempt.setup.attempt, message.body)
+        if stands:
+            self._standing[name] = lane
+        self._let_go(attempt)
+        if not stands:
+            self._release_late(lane, name)
+
+    def _unasked(self, lane: Lane, message: Message, name: str) -> None:
+        """An answer that no attempt waits for: late, to one given up; else a copy, or one to nobody's set-up.
+
+        A late one is released: nobody has that call. A release for a copy would cut the call that stands.
+        """
+        if message.status < 300 and name in self._past and name not in self._attempts and (
+            name not in self._standing
+        ):  # fmt: skip
+            del self._past[name]
+            lane.connection.send(plain("ACK", f"sip:{name}@net", name))
+            self._release_late(lane, name)
+        else:
+            COUNTERS.add("in.server.unasked")
+
+    def _release_late(self, lane: Lane, name: str) -> None:
+        COUNTERS.add("server.late_answers")
+        self._say(Outgoing(bye(name, CUT), "out.server.BYE"), lane)
+
+
+def _may_begin(data: bytes) -> bool:
+    """Whether bytes may be the begin of a message."""
+    data = data.lstrip(b"\r\n")
+    return any(line.startswith(data[: len(line)]) for line in START_LINES)
+
+
+class CallServers:
+    """The server side on the platform: it keeps an actor for each call server listed."""
+
+    def __init__(
+        self, loop: Loop, switch: Switch, connect_wait: timedelta, sockets: int = LANES * LANES
+    ) -> None:
+        self._loop, self._switch = loop, switch
+        self.connect_wait, self.sockets = connect_wait, sockets
+        self._peers: dict[str, CallServer] = {}
+
+    def listed(self, entries: list[Listed]) -> None:
+        """Tell the actors; one that was dropped from the list stays to end its calls."""
+        for entry in entries:
+            peer = self._peers.get(entry.server)
+            if peer is not None:
+                peer.post(entry)
+            elif not entry.removed:
+                lanes = max(1, min(LANES, self.sockets // (len(self._peers) + 2)))
+                self._peers[entry.server] = CallServer(
+                    self._loop, self._switch, entry, self.connect_wait, lanes
+                )
+            if entry.removed:
+                self._peers.pop(entry.server, None)
+
+    def send(self, setup: Setup) -> None:
+        """A set-up to a server that is not on the list is not sent."""
+        peer = self._peers.get(setup.server)
+        if peer is None:
+            self._switch.ended(setup.name, setup.attempt, i.Outcome.NOT_SENT)
+        else:
+            peer.post(setup)
+
+    def cancel(self, name: str, attempt: int) -> None:
+        """Only the server that has the attempt acts on it."""
+        for peer in self._peers.values():
+            peer.post(CancelSetup(name, attempt))
+
+    def release(self, server: str | None, name: str, cause: int) -> None:
+        """Release a call at its server, or at all where it is from before a restart."""
+        for known, peer in self._peers.items():
+            if server in (None, known):
+                peer.post(Release(name, cause))
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -1,104 +1,36 @@
-"""The platform's thin front: callers on one side, call servers on the other, over TCP."""
+"""The platform's callers: their connections, what comes in on them and what they are told."""
 
 from __future__ import annotations
 
 import socket
-from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 
-from reedmount import interface as i
 from reedmount.core.checks import COUNTERS, log
-from reedmount.core.clock import millis, whole_millis
-from reedmount.core.ports import CUT, NORMAL, CancelSetup, Listed, Offer, Release, Setup
-from reedmount.core.switch import NO_REPORT, Switch
+from reedmount.core.clock import whole_millis
+from reedmount.core.ports import NORMAL
+from reedmount.core.switch import Switch
+from reedmount.fronts.thin import bye, cause_of, name_of, offer_of
 from reedmount.net.connection import Address, Connection, End, listen
-from reedmount.net.loop import Actor, Loop, Timer
-from reedmount.simhost import WireError, read_report
-from reedmount.sip.framing import next_frame, next_message
-from reedmount.sip.message import Message, SipError, parse_head, request, response, user_of
+from reedmount.net.loop import Actor, Loop
+from reedmount.sip.framing import next_frame
+from reedmount.sip.message import Message, SipError, parse_head, response
 
-ANSWER_EARLY = timedelta(milliseconds=120)  # before the caller gives up: a busy core may stall for as long
 ACK_WAIT = timedelta(milliseconds=500)  # for the ACK of an answer that a CANCEL crossed
-UNHEARD = timedelta(seconds=3)  # silence after which an open connection is no longer trusted
-FIRST_RETRY, LAST_RETRY = timedelta(milliseconds=100), timedelta(seconds=1)
+LOOK_EVERY = timedelta(milliseconds=250)  # at connections that say or get nothing
+FIRST_WORD = timedelta(milliseconds=2000)  # for a first whole message, and for the rest of one that has begun
+FIRST_ANSWER = timedelta(milliseconds=2200)  # with nothing open: what was sent until then is owed no answer
+IDLE = timedelta(seconds=5)  # callers close after 4 s without a call
+ANSWERED_BY = timedelta(milliseconds=3300)  # after SIGTERM: the end may come half a second later
 KEPT_RELEASES = 4096
 UNHEARD_RELEASES = 256  # for each connection
+MOST_OPEN = 128  # set-ups on one connection
+UNPROVEN_OPEN = 16  # on one on which no call has stood yet
+STRIKES = 8  # messages that cannot be taken, until the connection is closed
+RELAYED = 16  # releases of unknown calls passed on to all servers, for each look
 REFUSED, FAILED = 503, 500
 TEST_FAILED = 503
-FIELD_NAMES = {"x0": "free", "x1": "size", "latency_ms": "recent_ms"}  # the settings name them either way
-CAUSES = {
-    "no_path": i.Cause.NO_LINE,
-    "queue_long": i.Cause.PROCESSOR_FULL,
-    "line_taken": i.Cause.NUMBER_BUSY,
-}
-OUTCOMES = {503: i.Outcome.FULL, 480: i.Outcome.NOT_SENT, 504: i.Outcome.RESET}
-
-
-def bye(name: str, cause: int) -> bytes:
-    """A release."""
-    headers = [("Via", "SIP/2.0/TCP reedmount"), ("Call-ID", name), ("CSeq", "2 BYE"),
-               ("Reason", f"Q.850;cause={cause}")]  # fmt: skip
-    return request("BYE", f"sip:{name}@net", headers).encode()
-
-
-def plain(method: str, uri: str, name: str, via: str = "SIP/2.0/TCP reedmount") -> bytes:
-    """An ACK or a CANCEL."""
-    return request(method, uri, [("Via", via), ("Call-ID", name), ("CSeq", f"1 {method}")]).encode()
-
-
-def cause_of(message: Message) -> int:
-    """The cause in a release's Reason header; without one the call is taken as ended normally."""
-    for part in (message.get("Reason") or "").split(";"):
-        key, _, value = part.partition("=")
-        if key.strip().lower() == "cause" and value.strip().isdecimal():
-            return int(value)
-    return NORMAL
-
-
-def report_of(message: Message) -> i.LoadReport:
-    """The load report of a server's message; one that cannot be read is counted and passed over."""
-    text = message.get("X-Occupancy")
-    if not text:
-        return NO_REPORT
-    pairs = (pair.partition(":") for pair in text.replace(" ", "").split(";") if pair)
-    try:
-        return read_report(",".join(f"{FIELD_NAMES.get(key, key)}:{value}" for key, _, value in pairs))
-    except WireError:
-        COUNTERS.add("in.bad_report")
-        return NO_REPORT
-
-
-def legs_of(text: str) -> dict[str, int]:
-    """The figures in X-Legs."""
-    legs: dict[str, int] = {}
-    for pair in text.split(";"):
-        key, _, value = pair.strip().partition(":")
-        try:
-            legs[key] = int(float(value))
-        except (ValueError, OverflowError):
-            COUNTERS.add("in.bad_figure")
-    return legs
-
-
-def offer_of(message: Message, now: datetime) -> Offer:
-    """Read a caller's set-up."""
-    timer = message.need("X-Timer-Ms")
-    if not timer.isdecimal() or len(timer) > 9:
-        raise SipError(400, "X-Timer-Ms is not a number of milliseconds")
-    legs = legs_of(message.get("X-Legs") or "")
-    dest = legs.get("dest", -1)
-    return Offer(
-        name=message.call_id,
-        call_class=message.need("X-Cos"),
-        number=user_of(message.uri),
-        first_choice=dest if dest >= 0 else None,
-        answer_by=now + millis(int(timer)) - ANSWER_EARLY,
-        description=message.body,
-        redialled=message.get("X-Reattempt") not in (None, "", "0"),
-        was_cut=legs.get("again", 0) == 1,
-    )
+UNKNOWN_CALL = 481
 
 
 def host_of(sock: socket.socket) -> str:
@@ -109,9 +41,6 @@
         return ""
 
 
-# --- callers ---
-
-
 @dataclass(frozen=True, slots=True)
 class Heard:
     """Bytes have come."""
@@ -135,6 +64,10 @@
         self._actor: Actor[Heard | Lost] = Actor(callers.loop, self._handle)
         self.host = host_of(sock)
         self.set_ups = 0  # that came here: a connection that only tested reaches no caller of a call
+        self.proven = False  # a call has stood here
+        self.heard = self.told = False  # a whole message has come; something was answered
+        self.part_since: datetime | None = None  # a message has begun and not ended
+        self._strikes = 0
         self.standing: set[str] = set()  # calls that were answered here and are not over
         self.open: dict[str, Message] = {}
         self._unacked: dict[str, Message] = {}  # answered, and no ACK has come yet
@@ -156,6 +89,7 @@
             return
         self._unacked[name] = invite
         self.standing.add(name)
+        self.proven = True
         self._callers.homes[name] = self
         self._write(response(invite, 200, body=description).encode(), "out.answer")
 
@@ -169,7 +103,6 @@
 
     def released(self, name: str, cause: int) -> None:
         """Pass a release on: here, else on any open connection, else on the next."""
-        self._unacked.pop(name, None)
         self._callers.over(name)
         self._callers.release(name, cause, self)
 
@@ -195,11 +128,13 @@
                 self._forget()
 
     def _read(self) -> None:
+        ring = self.connection.incoming
         while not self.connection.ended:
             try:
-                frame = next_frame(self.connection.incoming)
+                frame = next_frame(ring)
                 if frame is None:
-                    return
+                    break
+                self.heard, self.part_since = True, None
                 if not self._unacked and frame[0].startswith(b"ACK "):
                     COUNTERS.add("in.caller.ACK")  # of a refusal, as half of all that comes is: nobody waits
                     continue
@@ -208,9 +143,31 @@
                 self._take(message)
             except SipError as error:
                 COUNTERS.add("in.malformed")
-                log(f"caller: {error}")
-                self.connection.close()
-                self._forget()
+                log(f"caller: {error}", "malformed")
+                self.close()
+                return
+        if not len(ring):
+            self.part_since = None
+        elif self.part_since is None:
+            self.part_since = self._callers.loop.clock.now()
+
+    def overdue(self, now: datetime) -> bool:
+        """Whether nothing more can be expected: silent, stuck amid a message, never answered, or idle."""
+        age, silence = now - self.connection.opened_at, now - self.connection.heard_at
+        if not self.heard:
+            return age > FIRST_WORD
+        if self.open:
+            return False
+        if self.part_since is not None and now - self.part_since > FIRST_WORD:
+            return True
+        if not self.told:
+            return age > FIRST_ANSWER
+        return not self.standing and silence > IDLE
+
+    def over(self, name: str) -> None:
+        """A call that was answered here is over."""
+        self.standing.discard(name)
+        self._unacked.pop(name, None)
 
     def _take(self, message: Message) -> None:
         if not message.is_request:
@@ -227,12 +184,9 @@
             case "CANCEL":
                 self._cancel(message.call_id)
             case "BYE":
-                self._write(response(message, 200).encode(), "out.release_heard")
-                self._unacked.pop(message.call_id, None)
-                self._callers.over(message.call_id)
-                self._switch.caller_released(message.call_id, cause_of(message))
+                self._bye(message)
             case "OPTIONS":
-                status = TEST_FAILED if self._callers.stopping else 200
+                status = TEST_FAILED if self._callers.stopping_since else 200
                 self._write(response(message, status).encode(), "out.test")
             case _:
                 self._write(response(message, 501).encode(), "out.not_known")
@@ -240,19 +194,47 @@
     def _invite(self, message: Message) -> None:
         name = message.call_id
         if name in self.open:
+            # Two under one number: no answer could be told from the other's.
             COUNTERS.add("in.repeated")
+            self._final(name, 400, [])
+            self._switch.caller_gone(name)
+            self._strike()
             return
         try:
-            offer = offer_of(message, self._callers.loop.clock.now())
+            offer = offer_of(message, self._callers.loop.clock.now(), self._switch.classes)
         except SipError as error:
             COUNTERS.add("in.malformed")
+            log(f"caller: {error}", "refused")
             self._write(response(message, error.status).encode(), "out.bad_request")
+            self._strike()
             return
-        self.open[name] = message
         self.set_ups += 1
+        if len(self.open) >= (MOST_OPEN if self.proven else UNPROVEN_OPEN):
+            COUNTERS.add("in.too_many_open")
+            self._write(response(message, REFUSED).encode(), "out.503")
+            return
+        self.open[name] = message
         self._callers.tell_waiting(self)
+        if self._callers.stopping_since is not None:
+            offer = replace(offer, answer_by=min(offer.answer_by, self._callers.stopping_since + ANSWERED_BY))
         if not self._switch.offer(offer, self):
             self._final(name, 400, [])
+            self._strike()
+
+    def _strike(self) -> None:
+        """One that sends again and again what cannot be taken is closed."""
+        self._strikes += 1
+        if self._strikes >= STRIKES and not self.open and not self.standing:
+            COUNTERS.add("in.struck_out")
+            self.close()
+
+    def _bye(self, message: Message) -> None:
+        name = name_of(message)
+        self._callers.over(name)
+        status = 200 if self._switch.knows(name) or self._callers.may_relay() else UNKNOWN_CALL
+        self._write(response(message, status).encode(), "out.release_heard")
+        if status == 200:
+            self._switch.caller_released(name, cause_of(message))
 
     def _cancel(self, name: str) -> None:
         if self.open.pop(name, None) is not None:
@@ -276,6 +258,7 @@
 
     def _write(self, data: bytes, counter: str) -> None:
         COUNTERS.add(counter)
+        self.told = True
         self.connection.send(data)
 
     def _forget(self) -> None:
@@ -297,13 +280,15 @@
 
     def __init__(self, loop: Loop, switch: Switch, address: Address, most: int) -> None:
         self.loop, self.switch = loop, switch
-        self.stopping = False
+        self.stopping_since: datetime | None = None
+        self._relayed = 0  # since the last look
         self.most = most  # connections
         self._links: dict[Link, None] = {}
         self.homes: dict[str, Link] = {}  # where calls that stand were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
         self._sock = listen(loop, address, self._accept)
         switch.on_orphan(lambda name, cause: self.release(name, cause, None))
+        loop.after(LOOK_EVERY, self._look)
 
     @property
     def address(self) -> Address:
@@ -344,12 +329,29 @@
         """A call that stood is over."""
         home = self.homes.pop(name, None)
         if home is not None:
-            home.standing.discard(name)
+            home.over(name)
 
     def drop(self, link: Link) -> None:
         """A connection has ended."""
         self._links.pop(link, None)
 
+    def may_relay(self) -> bool:
+        """Whether the release of a call that is not known goes to all servers.
+
+        It may be from before a restart; but a caller that makes numbers up must not keep the servers busy.
+        """
+        self._relayed += 1
+        return self._relayed <= RELAYED
+
+    def _look(self) -> None:
+        """Close the connections that only take room."""
+        self._relayed = 0
+        now = self.loop.clock.now()
+        for link in [link for link in self._links if link.overdue(now)]:
+            COUNTERS.add("in.closed")
+            link.close()
+        self.loop.after(LOOK_EVERY, self._look)
+
     def _accept(self, sock: socket.socket) -> None:
         COUNTERS.add("in.connections")
         if len(self._links) >= self.most:
@@ -362,397 +364,3 @@
                 return
             spare.close()
         self._links[Link(self, sock)] = None
-
-
-# --- call servers ---
-
-
-@dataclass(slots=True)
-class Attempt:
-    """A set-up at a call server: queued, then sent, then perhaps being called off."""
-
-    setup: Setup
-    timer: Timer
-    uri: str
-    sent_on: Connection | None = None
-    sent_at: datetime | None = None
-    ending: bool = False
-
-    @property
-    def via(self) -> str:
-        """What tells the attempts of one call apart, where the server gives it back.
-
-        The number in CSeq does not: call servers answer every set-up as number 1, and the answers to second
-        attempts were passed over for it.
-        """
-        return f"SIP/2.0/TCP reedmount;branch=z9hG4bK{self.setup.name}.{self.setup.attempt}"
-
-    def answered_by(self, message: Message, connection: Connection) -> bool:
-        """Whether this is its answer, and not one to an earlier attempt of the same call."""
-        given = message.get("Via")
-        ours = given is None or "branch=" not in given or given == self.via
-        return ours and self.sent_on is connection and not self.ending
-
-
-@dataclass(slots=True)
-class Outgoing:
-    """A message that has not begun to be written."""
-
-    data: bytes
-    counter: str
-    begun: Callable[[Connection], None] | None = None
-    written: Callable[[], None] | None = None
-    attempt: Attempt | None = None  # a set-up, which a drain takes back
-
-
-@dataclass(frozen=True, slots=True)
-class Up:
-    """The connection is up, or has written all it had."""
-
-    connection: Connection
-
-
-@dataclass(frozen=True, slots=True)
-class Data:
-    """Bytes have come."""
-
-    connection: Connection
-
-
-@dataclass(frozen=True, slots=True)
-class Down:
-    """A connection has ended."""
-
-    connection: Connection
-    how: End
-
-
-Word = Setup | CancelSetup | Release | Listed | Up | Data | Down
-
-
-class CallServer:
-    """The actor of one call server: its connection, what is queued for it and what is out there."""
-
-    def __init__(self, loop: Loop, switch: Switch, entry: Listed, connect_wait: timedelta) -> None:
-        self._loop, self._switch, self._entry = loop, switch, entry
-        self._connect_wait = connect_wait
-        self._actor: Actor[Word] = Actor(loop, self._handle)
-        self.post = self._actor.post
-        self._connection: Connection | None = None
-        self._silent: list[Connection] = []  # no longer trusted; set-ups may still be open there
-        self._attempts: dict[str, Attempt] = {}
-        self._outbox: deque[Outgoing] = deque()
-        self._writing: Callable[[], None] | None = None
-        self._standing: set[str] = set()
-        self._retry = FIRST_RETRY
-        self._retrying = False
-        if entry.serving:
-            self._connect()  # a state of its lines, and releases from before a restart, come first on it
-
-    @property
-    def address(self) -> Address:
-        """Where it listens."""
-        return self._entry.address
-
-    def _handle(self, word: Word) -> None:
-        match word:
-            case Setup():
-                self._setup(word)
-            case CancelSetup(name, number):
-                attempt = self._attempts.get(name)
-                if attempt is not None and attempt.setup.attempt == number:
-                    self._call_off(attempt, i.Outcome.CANCELLED)
-            case Release(name, cause):
-                self._standing.discard(name)
-                self._queue(Outgoing(bye(name, cause), "out.server.BYE"))
-            case Listed():
-                self._news(word)
-            case Up(connection):
-                if connection is self._connection:
-                    self._retry = FIRST_RETRY
-                    if connection.idle:
-                        self._finish_write()
-                        self._pump()
-            case Data(connection):
-                self._read(connection)
-            case Down(connection, how):
-                self._down(connection, how)
-
-    # --- the list ---
-
-    def _news(self, entry: Listed) -> None:
-        known, self._entry = self._entry, entry
-        if entry.started is not None and (known.started is None or entry.started > known.started):
-            # A restart behind the same name: what stood at the old process is gone with it.
-            self._switch.server_lost(entry.server, entry.started)
-        if entry.serving:
-            return
-        for item in [item for item in self._outbox if item.attempt is not None]:
-            self._outbox.remove(item)
-            self._end(item.attempt, i.Outcome.NOT_SENT)  # type: ignore[arg-type]
-        if entry.removed:
-            self._switch.server_lost(entry.server)
-            self._standing.clear()
-            self._abandon()
-
-    def _abandon(self) -> None:
-        """The machine is gone: nothing will be heard on its connections."""
-        for connection in [*self._silent, *([self._connection] if self._connection else [])]:
-            connection.close()
-        self._silent, self._connection, self._writing = [], None, None
-        self._outbox.clear()
-        for attempt in list(self._attempts.values()):
-            self._end(attempt, i.Outcome.RESET)
-
-    # --- what goes out ---
-
-    def _setup(self, setup: Setup) -> None:
-        uri = f"sip:{setup.number}@net"
-        timer = self._loop.after(setup.give_up, lambda: self._expire(setup))
-        attempt = Attempt(setup, timer, uri)
-        self._attempts[setup.name] = attempt
-        if not self._entry.serving:
-            self._end(attempt, i.Outcome.NOT_SENT)
-            return
-        headers = [
-            ("Via", attempt.via),
-            ("Call-ID", setup.name),
-            ("CSeq", "1 INVITE"),
-            ("X-Cos", setup.call_class),
-            ("X-Timer-Ms", str(whole_millis(setup.give_up))),
-        ]
-        data = request("INVITE", uri, headers, setup.description).encode()
-
-        def begun(connection: Connection) -> None:
-            attempt.sent_on, attempt.sent_at = connection, self._loop.clock.now()
-
-        self._doubt()
-        self._queue(Outgoing(data, "out.server.INVITE", begun, attempt=attempt))
-
-    def _doubt(self) -> None:
-        """A connection on which a set-up hangs and nothing comes may be to a machine that has vanished."""
-        connection = self._connection
-        if connection is None or not connection.up:
-            return
-        since = self._loop.clock.now() - UNHEARD
-        hanging = any(
-            attempt.sent_on is connection and attempt.sent_at is not None and attempt.sent_at < since
-            for attempt in self._attempts.values()
-        )
-        if hanging and connection.heard_at < since:
-            COUNTERS.add("server.silent")
-            self._silent.append(connection)
-            self._connection, self._writing = None, None
-
-    def _expire(self, setup: Setup) -> None:
-        attempt = self._attempts.get(setup.name)
-        if attempt is not None and attempt.setup is setup:
-            self._call_off(attempt, i.Outcome.TIMED_OUT)
-
-    def _call_off(self, attempt: Attempt, outcome: i.Outcome) -> None:
-        """Write the CANCEL; the attempt is out until that is done, or its time is up."""
-        if attempt.sent_on is None:
-            for item in [item for item in self._outbox if item.attempt is attempt]:
-                self._outbox.remove(item)
-            self._end(attempt, outcome)
-            return
-        if not attempt.ending:
-            attempt.ending = True
-            data = plain("CANCEL", attempt.uri, attempt.setup.name, attempt.via)
-            done = Outgoing(data, "out.server.CANCEL", written=lambda: self._end(attempt, outcome))
-            if attempt.sent_on is self._connection:
-                self._queue(done, first=True)
-            else:
-                attempt.sent_on.send(data)
-                self._end(attempt, outcome)
-        if outcome is i.Outcome.TIMED_OUT:
-            self._end(attempt, outcome)
-
-    def _end(self, attempt: Attempt, outcome: i.Outcome, message: Message | None = None) -> None:
-        if self._attempts.get(attempt.setup.name) is not attempt:
-            return
-        del self._attempts[attempt.setup.name]
-        attempt.timer.cancel()
-        cause, report = i.Cause.NONE, NO_REPORT
-        if message is not None:
-            note = message.get("X-Diagnosis") or ""
-            cause = CAUSES.get(note, i.Cause.OTHER if note else i.Cause.NONE)
-            report = report_of(message)
-        self._switch.ended(attempt.setup.name, attempt.setup.attempt, outcome, cause, report)
-
-    def _queue(self, item: Outgoing, first: bool = False) -> None:
-        """Put it in line; a message begins to be written only once those before it are wholly out."""
-        if first:
-            self._outbox.appendleft(item)
-        else:
-            self._outbox.append(item)
-        if self._connection is None:
-            self._connect()
-        else:
-            self._pump()
-
-    def _pump(self) -> None:
-        while self._outbox and self._connection is not None and self._connection.idle and not self._writing:
-            item = self._outbox.popleft()
-            COUNTERS.add(item.counter)
-            self._writing = item.written or (lambda: None)
-            if item.begun is not None:
-                item.begun(self._connection)
-            self._connection.send(item.data)
-            if self._connection is not None and self._connection.idle:
-                self._finish_write()
-
-    def _finish_write(self) -> None:
-        done, self._writing = self._writing, None
-        if done is not None:
-            done()
-
-    # --- the connection ---
-
-    def _connect(self) -> None:
-        if self._connection is not None or self._entry.removed:
-            return
-        COUNTERS.add("server.connects")
-        self._connection = Connection.dial(
-            self._loop,
-            self._entry.address,
-            self._connect_wait,
-            lambda connection: self.post(Data(connection)),
-            lambda connection, how: self.post(Down(connection, how)),
-            lambda connection: self.post(Up(connection)),
-        )
-
-    def _down(self, connection: Connection, how: End) -> None:
-        if connection in self._silent:
-            self._silent.remove(connection)
-        # One closed as soon as it is up, by a server that holds all it accepts, is no connection either.
-        brief = self._loop.clock.now() - connection.opened_at < FIRST_RETRY
-        never = how in (End.REFUSED, End.NEVER_UP) or brief
-        if connection is self._connection:
-            self._connection = None
-            done, self._writing = self._writing, None
-            if never:
-                self._unreachable()
-            if how is End.REFUSED and self._standing:
-                # Its process is gone, and with it the calls that stood there.
-                self._standing.clear()
-                self._switch.server_lost(self._entry.server)
-            if done is not None:
-                done()
-        for attempt in [attempt for attempt in self._attempts.values() if attempt.sent_on is connection]:
-            self._end(attempt, i.Outcome.RESET)
-        if self._connection is None and (self._outbox or self._standing):
-            if never:
-                self._connect_later()
-            else:
-                self._connect()
-
-    def _unreachable(self) -> None:
-        for item in [item for item in self._outbox if item.attempt is not None]:
-            self._outbox.remove(item)
-            self._end(item.attempt, i.Outcome.UNREACHABLE)  # type: ignore[arg-type]
-
-    def _connect_later(self) -> None:
-        """Calls stand there, or releases wait: come back, ever more slowly."""
-        if self._retrying:
-            return
-        self._retrying = True
-        self._loop.after(self._retry, self._again)
-        self._retry = min(2 * self._retry, LAST_RETRY)
-
-    def _again(self) -> None:
-        self._retrying = False
-        if self._outbox or self._standing:
-            self._connect()
-
-    # --- what comes in ---
-
-    def _read(self, connection: Connection) -> None:
-        while not connection.ended:
-            try:
-                message = next_message(connection.incoming)
-                if message is None:
-                    return
-                self._take(connection, message)
-            except SipError as error:
-                COUNTERS.add("in.malformed")
-                log(f"{self._entry.server}: {error}")
-                connection.close()
-                self._down(connection, End.RESET)
-
-    def _take(self, connection: Connection, message: Message) -> None:
-        if not message.is_request:
-            if message.cseq[1] == "INVITE" and message.status >= 200:
-                self._answer(connection, message)
-            return
-        COUNTERS.add(f"in.server.{message.method if message.method in ('BYE', 'NOTIFY') else 'other'}")
-        if message.method == "NOTIFY":
-            report = report_of(message)
-            if report is not NO_REPORT:
-                self._switch.reported(self._entry.server, report)
-        elif message.method == "BYE":
-            connection.send(response(message, 200).encode())
-            self._standing.discard(message.call_id)
-            self._switch.server_released(message.call_id, cause_of(message), report_of(message))
-        elif message.method != "ACK":
-            connection.send(response(message, 501).encode())
-
-    def _answer(self, connection: Connection, message: Message) -> None:
-        name = message.call_id
-        COUNTERS.add(f"in.server.{message.status}")
-        attempt = self._attempts.get(name)
-        uri = attempt.uri if attempt is not None else f"sip:{name}@net"
-        connection.send(plain("ACK", uri, name))
-        mine = attempt is not None and attempt.answered_by(message, connection)
-        if message.status < 300:
-            if attempt is not None and mine:
-                attempt.timer.cancel()
-                del self._attempts[name]
-                if self._switch.stands(name, attempt.setup.attempt, message.body):
-                    self._standing.add(name)
-                    return
-            # The answer of an attempt that is over: nobody has this call.
-            COUNTERS.add("server.late_answers")
-            self._queue(Outgoing(bye(name, CUT), "out.server.BYE"))
-        elif attempt is not None and mine:
-            self._end(attempt, OUTCOMES.get(message.status, i.Outcome.FAILED), message)
-
-
-class CallServers:
-    """The server side on the platform: it keeps an actor for each call server listed."""
-
-    def __init__(self, loop: Loop, switch: Switch, connect_wait: timedelta) -> None:
-        self._loop, self._switch, self.connect_wait = loop, switch, connect_wait
-        self._peers: dict[str, CallServer] = {}
-
-    def listed(self, entries: list[Listed]) -> None:
-        """Tell the actors; one that was dropped from the list stays to end its calls."""
-        for entry in entries:
-            peer = self._peers.get(entry.server)
-            if peer is not None:
-                peer.post(entry)
-            elif not entry.removed:
-                self._peers[entry.server] = CallServer(self._loop, self._switch, entry, self.connect_wait)
-            if entry.removed:
-                self._peers.pop(entry.server, None)
-
-    def send(self, setup: Setup) -> None:
-        """A set-up to a server that is not on the list is not sent."""
-        peer = self._peers.get(setup.server)
-        if peer is None:
-            self._switch.ended(setup.name, setup.attempt, i.Outcome.NOT_SENT)
-        else:
-            peer.post(setup)
-
-    def cancel(self, name: str, attempt: int) -> None:
-        """Only the server that has the attempt acts on it."""
-        for peer in self._peers.values():
-            peer.post(CancelSetup(name, attempt))
-
-    def release(self, server: str | None, name: str, cause: int) -> None:
-        """Release a call at its server, or at all where it is from before a restart."""
-        for known, peer in self._peers.items():
-            if server in (None, known):
-                peer.post(Release(name, cause))
-
-
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -12,7 +12,7 @@
 from reedmount.core.clock import ZERO
 from reedmount.core.ports import CUT, NORMAL, CancelSetup, Listed, Offer, Release, Setup
 from reedmount.core.switch import Switch
-from reedmount.fronts.platform import cause_of
+from reedmount.fronts.thin import cause_of
 from reedmount.net.connection import Address, End
 from reedmount.net.loop import Actor, Loop, Timer
 from reedmount.sip import dialog as dialogs
--- /dev/null
+++ b/reedmount/fronts/thin.py
@@ -0,0 +1,133 @@
+"""The platform's thin protocol: messages written, each field read and checked before the core sees it."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from datetime import datetime, timedelta
+
+from reedmount import interface as i
+from reedmount.core.checks import COUNTERS
+from reedmount.core.clock import millis, span
+from reedmount.core.ports import NORMAL, Offer
+from reedmount.core.switch import NO_REPORT
+from reedmount.simhost import WireError, read_report
+from reedmount.sip.message import Message, SipError, request
+
+ANSWER_EARLY = timedelta(milliseconds=120)  # before the caller gives up: a busy core may stall for as long
+MOST_WIDTH, MOST_PLACE = 64, 9999
+ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
+URI = re.compile(r"sip:([0-9a-f]{16})@net", re.ASCII)
+FIGURE = re.compile(r"-?[0-9]{1,6}(?:\.0{1,6})?", re.ASCII)
+FIELD_NAMES = {"x0": "free", "x1": "size", "latency_ms": "recent_ms"}  # the settings name them either way
+CAUSES = {
+    "no_path": i.Cause.NO_LINE,
+    "queue_long": i.Cause.PROCESSOR_FULL,
+    "line_taken": i.Cause.NUMBER_BUSY,
+}
+OUTCOMES = {503: i.Outcome.FULL, 480: i.Outcome.NOT_SENT, 504: i.Outcome.RESET}
+
+
+def bye(name: str, cause: int) -> bytes:
+    """A release."""
+    headers = [("Via", "SIP/2.0/TCP reedmount"), ("Call-ID", name), ("CSeq", "2 BYE"),
+               ("Reason", f"Q.850;cause={cause}")]  # fmt: skip
+    return request("BYE", f"sip:{name}@net", headers).encode()
+
+
+def plain(method: str, uri: str, name: str, via: str = "SIP/2.0/TCP reedmount") -> bytes:
+    """An ACK or a CANCEL."""
+    return request(method, uri, [("Via", via), ("Call-ID", name), ("CSeq", f"1 {method}")]).encode()
+
+
+def cause_of(message: Message) -> int:
+    """The cause in a release's Reason header; without one the call is taken as ended normally."""
+    for part in (message.get("Reason") or "").split(";"):
+        key, _, value = part.partition("=")
+        value = value.strip()
+        if key.strip().lower() == "cause" and value.isascii() and value.isdecimal() and len(value) <= 3:
+            return int(value)
+    return NORMAL
+
+
+def report_of(message: Message) -> i.LoadReport:
+    """The load report of a server's message; one that cannot be read is counted and passed over."""
+    text = message.get("X-Occupancy")
+    if not text:
+        return NO_REPORT
+    pairs = (pair.partition(":") for pair in text.replace(" ", "").split(";") if pair)
+    try:
+        return read_report(",".join(f"{FIELD_NAMES.get(key, key)}:{value}" for key, _, value in pairs))
+    except WireError:
+        COUNTERS.add("in.bad_report")
+        return NO_REPORT
+
+
+def sound(description: bytes) -> bool:
+    """Whether a description is whole lines of text: one that noise hit or that was cut off is not."""
+    if not description:
+        return True
+    return description.endswith(b"\r\n") and description.replace(b"\r\n", b"").isascii() and (
+        description.replace(b"\r\n", b"").decode().isprintable()
+    )  # fmt: skip
+
+
+def name_of(message: Message) -> str:
+    """The Call-ID: what is none would make a call server close the connection that all calls share."""
+    name = message.call_id
+    if not ID.fullmatch(name):
+        raise SipError(400, f"Call-ID is not 16 hex digits: {name[:40]!r}")
+    return name
+
+
+def legs_of(text: str) -> dict[str, int]:
+    """The figures in X-Legs."""
+    legs: dict[str, int] = {}
+    for pair in text.split(";"):
+        key, _, value = pair.strip().partition(":")
+        if not key or not FIGURE.fullmatch(value.strip()):
+            raise SipError(400, f"X-Legs: not a figure: {pair[:40]!r}")
+        legs[key] = int(float(value))
+    return legs
+
+
+def within(legs: Mapping[str, int], key: str, usual: int, least: int, most: int) -> int:
+    """One of the figures, within its bounds."""
+    value = legs.get(key, usual)
+    if not least <= value <= most:
+        raise SipError(400, f"X-Legs: {key} {value} is not within {least} and {most}")
+    return value
+
+
+def offer_of(message: Message, now: datetime, classes: Mapping[str, i.CallClass]) -> Offer:
+    """Read a caller's set-up; every field is within its range, or a SipError names it."""
+    number = URI.fullmatch(message.uri)
+    if number is None:
+        raise SipError(400, f"the address is not sip:NUMBER@net: {message.uri[:40]!r}")
+    kind = classes.get(message.need("X-Cos"))
+    if kind is None:
+        raise SipError(400, f"X-Cos: no such class: {message.need('X-Cos')[:40]!r}")
+    timer = message.need("X-Timer-Ms")
+    if not timer.isascii() or not timer.isdecimal() or len(timer) > 9 or not int(timer):
+        raise SipError(400, f"X-Timer-Ms is not a number of milliseconds: {timer[:40]!r}")
+    wait = millis(int(timer))
+    if wait > span(kind.give_up_us):
+        raise SipError(400, f"X-Timer-Ms is longer than calls of the class wait: {timer}")
+    legs = legs_of(message.get("X-Legs") or "dest:-1")
+    dest = within(legs, "dest", -1, -1, MOST_PLACE)
+    if dest >= 0 and kind.servers is not None and dest not in kind.servers:
+        raise SipError(400, f"X-Legs: a call of the class cannot go to {dest}")
+    within(legs, "width", 1, 1, MOST_WIDTH)
+    within(legs, "via", -1, -1, MOST_PLACE)
+    if not sound(message.body):
+        raise SipError(400, "the description is not lines of text")
+    return Offer(
+        name=name_of(message),
+        call_class=kind.name,
+        number=number[1],
+        first_choice=dest if dest >= 0 else None,
+        answer_by=now + wait - ANSWER_EARLY,
+        description=message.body,
+        redialled=message.get("X-Reattempt") not in (None, "", "0"),
+        was_cut=within(legs, "again", 0, 0, 1) == 1,
+    )
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -16,6 +16,7 @@
 IN_BOUND = 32768  # two messages of the longest kind
 OUT_BOUND = 262144  # a peer that leaves so much unread is given up
 BACKLOG = 512
+ACCEPTS = 32  # a turn: a crowd at the door must not keep all others waiting
 PORTS_TRIED = 20  # for a port that is free for both, where any will do
 ACCEPT_AGAIN = timedelta(milliseconds=100)
 Address = tuple[str, int]
@@ -155,26 +156,24 @@
             self._read()
 
     def _read(self) -> None:
-        while not self.ended:
-            room = self.incoming.room
-            if not room:
-                self.close(End.STUCK)  # its reader left a message longer than any may be
-                return
-            try:
-                data = self._sock.recv(min(CHUNK, room))
-            except BlockingIOError:
-                return
-            except OSError:
-                self.close(End.RESET)
-                return
-            if not data:
-                self.close(End.CLOSED)
-                return
-            self.heard_at = self._loop.clock.now()
-            self.incoming.write(data)
-            self._on_data(self)
-            if len(data) < room:
-                return
+        """Read once a turn: its owner takes that before more is read, and others have their turn."""
+        room = self.incoming.room
+        if not room:
+            self.close(End.STUCK)  # its reader left a message longer than any may be
+            return
+        try:
+            data = self._sock.recv(min(CHUNK, room))
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close(End.RESET)
+            return
+        if not data:
+            self.close(End.CLOSED)
+            return
+        self.heard_at = self._loop.clock.now()
+        self.incoming.write(data)
+        self._on_data(self)
 
     def _flush(self) -> None:
         had = bool(self._outgoing)
@@ -228,7 +227,7 @@
         loop.watch(sock.fileno(), READ, ready)
 
     def ready(_: int) -> None:
-        while True:
+        for _ in range(ACCEPTS):
             try:
                 accepted, _peer = sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
--- a/reedmount/net/loop.py
+++ b/reedmount/net/loop.py
@@ -119,7 +119,7 @@
             if __debug__:
                 raise
             COUNTERS.add("faults")
-            log(traceback.format_exc())
+            log(traceback.format_exc(), "fault")
 
 
 class Mailbox(Generic[T]):
--- a/reedmount/sip/framing.py
+++ b/reedmount/sip/framing.py
@@ -8,6 +8,7 @@
 from reedmount.sip.message import LONGEST, Message, SipError, content_length, parse_head
 
 BLANK = b"\r\n\r\n"
+LENGTHS = re.compile(rb"\r\n(?:content-length|l)[ \t]*:", re.IGNORECASE)
 LENGTH = re.compile(rb"\r\n(?:content-length|l)[ \t]*:[ \t]*([0-9]{1,9})[ \t]*(?=\r\n)", re.IGNORECASE)
 
 
@@ -28,7 +29,7 @@
             raise SipError(513, "longer than 16 KiB")
         return None
     found = LENGTH.search(held, 0, end + 2)
-    if found is None:
+    if found is None or len(LENGTHS.findall(held, 0, end + 2)) > 1:
         # No plain length: say what is wrong with it.
         length = content_length(parse_head(held[:end]))
         if length is None:
--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -139,13 +139,16 @@
         names = NAMES.get(key) or _names(key, line, bool(colon))
         value = value.strip()
         message.headers.append((names[0], value))
+        if names[1] in SINGLE and names[1] in index:
+            raise SipError(400, f"{names[0]} stands twice")
         index.setdefault(names[1], value)
     message.index = index
     return message
 
 
 NAMES: dict[str, tuple[str, str]] = {}  # header names met so far: as they are written on, and in lower case
-MOST_NAMES = 256
+MOST_NAMES, LONGEST_NAME = 256, 40
+SINGLE = frozenset(("call-id", "cseq", "content-length", "from", "to", "max-forwards"))  # else: which counts?
 
 
 def _names(text: str, line: str, colon: bool) -> tuple[str, str]:
@@ -154,7 +157,7 @@
         raise SipError(400, f"malformed header line: {line[:60]!r}")
     key = COMPACT.get(key.lower(), key)
     found = (key, key.lower())
-    if len(NAMES) < MOST_NAMES:
+    if len(NAMES) < MOST_NAMES and len(text) <= LONGEST_NAME:
         NAMES[text] = found
     return found
 
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -13,6 +13,7 @@
 from reedmount.core.ports import Listed
 from reedmount.core.switch import Switch
 from reedmount.fronts.board import Board, BoardError, Pool, read_notices
+from reedmount.net.ring import Ring
 from tests.scenario import HOST, Peer, Stage
 from tests.support import SETTINGS
 
@@ -61,6 +62,7 @@
         try:
             self.server.sock, _ = self.server.listener.accept()
             self.server.sock.setblocking(False)
+            self.server.rings = {self.server.sock: Ring(1)}
         except BlockingIOError:
             pass
         try:
--- /dev/null
+++ b/tests/test_rough.py
@@ -0,0 +1,273 @@
+"""Rough days on the platform's front: bad clients, spoilt answers, broken connections, bounds."""
+
+from __future__ import annotations
+
+import socket
+from datetime import timedelta
+
+import pytest
+
+from reedmount.core.checks import COUNTERS, SAID, SAID_IN_FULL, log
+from tests.scenario import digits
+from tests.test_platform import SETUP, STANDS, Platform
+
+GOOD = b"there\r\n"
+HEAD = b"SIP/2.0 200 OK\r\nCall-ID: %b\r\nCSeq: 1 INVITE\r\n" % digits("c1").encode()
+SPOILT = {
+    "noise": b"\x04\x8c\x9a\xd3\xa2\x05\xffU_k\xa1\r\n\r\n",
+    "noise for a description": HEAD + b"Content-Length: 9\r\n\r\n\x04\x8c\x9a\xd3\xa2\x05\xff\r\n",
+    "two lengths": HEAD + b"Content-Length: -4\r\nContent-Length: 7\r\n\r\n" + GOOD,
+    "a length too short": HEAD + b"Content-Length: 7\r\n\r\n" + GOOD + b"c=IN IP4 10.0.0.1\r\n",
+    "three gigabytes": HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"A" * 40000,
+    "a line that does not end": HEAD + b"X-Pad: " + b"p" * 40000,
+    "a line that cannot be read": HEAD + b"no colon here\r\nContent-Length: 7\r\n\r\n" + GOOD,
+    "no SIP": b"SIP/9.9 OK 200\r\n" + HEAD[16:] + b"Content-Length: 7\r\n\r\n" + GOOD,
+}
+
+
+def accepted(stage: Platform, name: str = "server") -> socket.socket:
+    """The connection on which the server heard last."""
+    sock = stage.peers[name].sock
+    assert sock is not None
+    return sock
+
+
+@pytest.mark.parametrize("kind", SPOILT)
+def test_a_spoilt_answer_ends_its_attempt_alone_and_never_reaches_the_caller(kind: str) -> None:
+    """All calls of a server shared one connection, and what noise hit was passed on or cut all of them."""
+    stage = Platform("server")
+    stage.play(f"""
+        other send INVITE t x-cos=small x-timer-ms=2000
+        server expect INVITE t
+        caller send {SETUP}
+        server expect INVITE c1
+    """)
+    accepted(stage).sendall(SPOILT[kind])
+    stage.play("""
+        wait 50
+        server expect CLOSED
+        caller expect nothing
+        server send 200 INVITE t | fine
+        server expect ACK t
+        other expect 200 t body=fine
+        wait 300
+        server expect INVITE c1
+        server send 200 INVITE c1 | there
+        server expect ACK c1
+        caller expect 200 c1 body=there
+    """)
+
+
+def test_an_answer_that_stops_short_ends_its_attempt_soon() -> None:
+    """Its connection stayed open: the call hung until its caller gave up, and others were sent after it."""
+    stage = Platform("server")
+    stage.play(f"caller send {SETUP}\n server expect INVITE c1")
+    accepted(stage).sendall(HEAD + b"Content-Length: 70\r\n\r\nthe")
+    stage.play("wait 200\n server expect nothing\n wait 100\n server expect CLOSED\n wait 300")
+    stage.play("server expect INVITE c1")
+
+
+def test_a_second_copy_of_an_answer_leaves_the_call_standing() -> None:
+    """It was taken for a late answer and released: the call was cut, and its caller not told."""
+    stage = Platform("server")
+    stage.play(STANDS)
+    answer = HEAD + b"Content-Length: 7\r\n\r\n" + GOOD
+    accepted(stage).sendall(answer + answer.replace(digits("c1").encode(), b"00" * 8))
+    stage.play("""
+        server expect nothing
+        caller expect nothing
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        caller expect BYE c1
+    """)
+
+
+def test_a_second_copy_of_a_refusal_does_not_end_the_next_attempt() -> None:
+    """Call servers give no Via back: on one connection the copy counted as the answer to what came next."""
+    stage = Platform("server")
+    stage.play(f"""
+        caller send {SETUP}
+        server expect INVITE c1
+        server send 480 INVITE
+        server expect ACK c1
+        server expect INVITE c1
+    """)
+    first, second = stage.peers["server"].heard[0], accepted(stage)
+    other = stage.peers["server"].came[id(first)]
+    assert other is not second, "the next attempt had a connection of its own"
+    other.sendall(HEAD.replace(b"200 OK", b"480 Moot") + b"Content-Length: 0\r\n\r\n")
+    stage.play("server expect nothing\n caller expect nothing")
+
+
+def test_a_connection_reset_when_new_is_dialled_again_for_what_was_not_sent() -> None:
+    """One reset as it came up made the whole server count as out of reach."""
+    stage = Platform("server")
+    before = COUNTERS["attempts.unreachable"]
+    stage.play(f"""
+        server close reset
+        wait 20
+        caller send {SETUP}
+        server expect INVITE c1
+        server send 200 INVITE
+        caller expect 200 c1
+    """)
+    assert COUNTERS["attempts.unreachable"] == before
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        "x-cos=small_x x-timer-ms=2000", "x-cos=small", "x-cos=small x-timer-ms=soon",
+        "x-cos=small x-timer-ms=-5", "x-cos=small x-timer-ms=0", "x-cos=small x-timer-ms=99999999999999999",
+        "x-cos=small x-timer-ms=9001", "x-cos=small x-timer-ms=٣", "x-timer-ms=2000",
+        "x-cos=small x-timer-ms=2000 x-legs=dest:nan", "x-cos=small x-timer-ms=2000 x-legs=dest:-3",
+        "x-cos=small x-timer-ms=2000 x-legs=dest:1e9", "x-cos=small x-timer-ms=2000 x-legs=width:0",
+        "x-cos=small x-timer-ms=2000 x-legs=width:400", "x-cos=small x-timer-ms=2000 x-legs=x",
+        "x-cos=small x-timer-ms=2000 uri=sip:x@net", "x-cos=small x-timer-ms=2000 uri=sip:4711@far",
+    ],
+)  # fmt: skip
+def test_a_set_up_with_a_field_out_of_its_range_is_refused_at_the_door(words: str) -> None:
+    """What call servers cannot read made them close the connection of all calls."""
+    stage = Platform("server")
+    stage.play(f"caller send INVITE c1 {words} | hello\n caller expect 400 c1\n server expect nothing")
+    assert stage.switch.quiet
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\xf1\x14k\xee\xce\xa5\r\n\r\n", b"SIP/9.9 OK 200\r\n\r\n",
+        b"INVITE sip:x@net SIP/2.0\r\nX: " + b"p" * 20000,
+        b"INVITE sip:x@net SIP/2.0\r\nContent-Length: 60000000\r\n\r\nAAAA",
+        b"INVITE sip:x@net SIP/2.0\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n",
+        b"INVITE sip:x@net SIP/2.0\r\nCall-ID: 1\r\nContent-Length: -4\r\nContent-Length: 0\r\n\r\n",
+        b"BYE sip:x@net SIP/2.0\r\nCall-ID: nobody's\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n",
+    ],
+)  # fmt: skip
+def test_what_cannot_be_read_costs_its_connection_and_goes_no_further(raw: bytes) -> None:
+    stage = Platform("server")
+    stage.peers["caller"].write(raw)
+    stage.play("caller expect CLOSED\n server expect nothing\n" + STANDS)
+
+
+def test_connections_that_say_or_get_nothing_are_closed_and_those_with_calls_are_kept() -> None:
+    """Hundreds of silent connections held the descriptors that callers need, and got no end in time."""
+    stage = Platform("server")
+    stage.play(STANDS + """
+        server send BYE c1
+        server expect 200 c1
+        caller expect BYE c1
+        caller send 200 BYE
+        other send OPTIONS t
+        other expect 200 t
+    """)
+    silent, half, unanswered = (stage.peer(name, "thin", stage.callers.address) for name in ("s", "h", "u"))
+    silent.write(b"")
+    half.write(b"INVITE sip:0")
+    unanswered.write(b"SIP/2.0 200 OK\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n")
+    late = stage.peer("late", "thin", stage.callers.address)
+    stage.play("wait 1500\n s expect nothing\n h expect nothing\n u expect nothing")
+    stage.play("wait 1000\n s expect CLOSED\n h expect CLOSED\n u expect CLOSED")
+    late.write(late.request("INVITE", "c9", {"x-cos": "small", "x-timer-ms": "2000"}, b"").encode())
+    stage.play("""
+        server expect INVITE c9
+        server send 200 INVITE c9
+        server expect ACK c9
+        late expect 200 c9
+        wait 2000
+        caller expect nothing
+        wait 1500
+        caller expect CLOSED
+        other expect CLOSED
+        wait 3000
+        late expect nothing
+    """)
+
+
+def test_two_set_ups_under_one_number_are_one_refusal_and_no_call() -> None:
+    """The second was passed over in silence, and the first went on for a caller that could not tell."""
+    stage = Platform("server")
+    stage.play(f"""
+        caller send {SETUP} | one
+        server expect INVITE c1
+        caller send {SETUP} | two
+        caller expect 400 c1
+        server expect CANCEL c1
+        caller expect nothing
+    """)
+
+
+def test_the_number_of_an_open_call_is_refused_to_another_caller_and_the_call_goes_on() -> None:
+    stage = Platform("server")
+    stage.play(f"""
+        caller send {SETUP} | one
+        server expect INVITE c1
+        other send {SETUP} | two
+        other expect 400 c1
+        server send 200 INVITE c1 | there
+        caller expect 200 c1 body=there
+        other expect nothing
+    """)
+
+
+def test_a_flood_on_one_connection_leaves_room_for_the_others() -> None:
+    """Hundreds of set-ups at once filled the module's waiting room and the servers' processors."""
+    stage = Platform("server")
+    caller = stage.peers["caller"]
+    for number in range(40):
+        words = {"x-cos": "small", "x-timer-ms": "2000"}
+        caller.write(caller.request("INVITE", f"f{number}", words, b"").encode())
+    stage.settle()
+    assert stage.switch.unanswered == 16 and len(caller.inbox) == 24
+    assert all(message.status == 503 for message in caller.inbox)
+
+
+def test_one_that_sends_again_whatever_is_refused_is_closed() -> None:
+    stage = Platform("server")
+    for number in range(8):
+        stage.play(f"caller send INVITE c{number} x-cos=none x-timer-ms=2000\n caller expect 400 c{number}")
+    stage.play("caller expect CLOSED")
+
+
+def test_releases_of_calls_that_nobody_knows_are_not_all_passed_on() -> None:
+    """A caller that makes numbers up kept every server busy with releases."""
+    stage = Platform("server")
+    for number in range(30):
+        stage.play(f"caller send BYE b{number}\n caller expect {200 if number < 16 else 481} b{number}")
+    assert [m.method for m in stage.peers["server"].inbox] == ["BYE"] * 16
+
+
+def test_a_call_that_every_server_answers_with_a_fault_is_no_fault_of_theirs() -> None:
+    """Each was sent four times, and four faults in a row barred a server for all other callers."""
+    stage = Platform("server", "second")
+    for number in range(6):
+        stage.play(f"""
+            caller send INVITE c{number} x-cos=small x-timer-ms=2000 x-legs=dest:1
+            server expect INVITE c{number}
+            server send 500 INVITE
+            server expect ACK c{number}
+            second expect INVITE c{number}
+            second send 500 INVITE
+            second expect ACK c{number}
+            caller expect 503 c{number}
+        """)
+    stage.play("caller send INVITE d x-cos=small x-timer-ms=2000 x-legs=dest:1\n server expect INVITE d")
+
+
+def test_a_log_line_that_input_brings_about_is_not_said_for_ever(capsys: pytest.CaptureFixture[str]) -> None:
+    SAID.clear()
+    for _ in range(1000):
+        log("again", kind="again")
+    assert len(capsys.readouterr().err.splitlines()) == SAID_IN_FULL + 6
+    for number in range(1000):
+        log("new", kind=f"kind {number}")
+    assert len(SAID) <= 257
+    SAID.clear()
+
+
+def test_releases_wait_for_a_caller_and_their_number_is_bounded() -> None:
+    stage = Platform("server")
+    for number in range(5000):
+        stage.callers.release(f"{number:016x}", 16, None)
+    assert len(stage.callers._waiting) == 4096
+    stage.wait(timedelta(milliseconds=10))
