--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -63,8 +63,8 @@
     with started(GW_CONFIG=str(tmp_path / "config.json"), GW_LISTEN=f"{HOST}:0") as process:
         port = int(line(process).rpartition(":")[2])
         with socket.create_connection((HOST, port)) as caller:
-            setup = (b"INVITE sip:00000000000000a7@net SIP/2.0\r\nCall-ID: %b\r\nCSeq: 1 INVITE\r\nX-Cos: plain\r\n"
-                     b"X-Timer-Ms: 1000\r\nContent-Length: 0\r\n\r\n")  # fmt: skip
+            setup = (b"INVITE sip:00000000000000a7@net SIP/2.0\r\nCall-ID: %b\r\nCSeq: 1 INVITE\r\n"
+                     b"X-Cos: plain\r\nX-Timer-Ms: 1000\r\nContent-Length: 0\r\n\r\n")  # fmt: skip
             caller.sendall(setup % b"00000000000000b1")
             process.send_signal(signal.SIGTERM)
             assert line(process).startswith("stopping")
