Let a cold server have half as much again as just stood there, where that is more than its pace

Checked: a probe printed flags, windows, cold credit and the reports of refusals. One server had lost lines and was truly full (503 no_path, free:0). The other, back from a restart, was sent 7 to 17 a second of the 31 the first one did, answered each within 45 ms and had 220 lines free, while 10 to 18 calls were held: control.py, _cold_admits, COLD_FLOW of a rate that had been offered, not of what the server can do. Ruled out: windows (2 open of 2 only at the full one), flags (none up), the sockets (430 us an answer). Changed: what stood there within the span, but for one call, times 1.5 is earned as well. All proxies together then send at most 1.5 times what was just done; one call less each keeps fleets of 80 and 270 proxies at their pace.

--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -35,6 +35,7 @@
 WINDOW_CUT = 0.5  # on a raised flag
 TICK_SHARE = 0.1  # of the high mark: how often held and unanswered calls are looked at
 COLD_FLOW = 7 / 16  # of what tips a cold server: what we send it, over time
+COLD_PROVEN = 1.5  # of the calls that stood there within the span, but one: what it has done it can do
 COLD_IDLE = 1 / 8  # of what tips it within the span: the most that a proxy saves up while no call wants it
 MEAN_S = 60.0  # over which a server's throughput is averaged: a lull or a jam weighs little
 PRIOR_S = 1.0  # for so long the guess counts against what stood
@@ -58,6 +59,7 @@
 class Rate:
     """Events a second, the older ones fading; a rate that has only begun is not taken for a low one."""
 
+    span_s: float = RATE_SPAN_S
     count: float = 0.0
     since_us: int = -1  # the first event
     at_us: int = 0
@@ -66,16 +68,17 @@
         """Count one event."""
         if self.since_us < 0:
             self.since_us = now
-        self.count = self._faded(now) + 1
+        self.count = self.faded(now) + 1
         self.at_us = now
 
     def per_s(self, now: int) -> float:
         """The rate as it stands; a short history counts a second longer, lest one event make a high rate."""
         age_s = (now - self.since_us) / 1e6 + 1
-        return self._faded(now) / (RATE_SPAN_S * (1 - math.exp(-age_s / RATE_SPAN_S)))
+        return self.faded(now) / (self.span_s * (1 - math.exp(-age_s / self.span_s)))
 
-    def _faded(self, now: int) -> float:
-        return self.count * math.exp((self.at_us - now) / 1e6 / RATE_SPAN_S)
+    def faded(self, now: int) -> float:
+        """How many of late, each the less the longer ago."""
+        return self.count * math.exp((self.at_us - now) / 1e6 / self.span_s)
 
 
 @dataclass(slots=True)
@@ -152,6 +155,7 @@
     throughput: Throughput = field(default_factory=Throughput)  # of its place, before a restart as well
     cold_credit: float = 0.0  # below one: the part of the next set-up that is earned
     cold_at_us: int = 0  # when a call last wanted it while cold
+    proven: Rate = field(default_factory=Rate)  # of calls that stood there while cold
     hung: dict[tuple[int, int], int] = field(default_factory=dict)  # unanswered past the high mark
     stood: Rate = field(default_factory=Rate)
     answered_sent_us: int = -1  # when the latest set-up that was answered had been sent
@@ -268,6 +272,7 @@
             server.throughput = self._throughput.setdefault(entry.number, Throughput())
         if server is not known and server.started_us > 0:
             server.cold_credit, server.cold_at_us = self._random.random(), now
+            server.proven = Rate(self._settings.fall_span_us / 1e6)
             self._actions.append(i.Log(f"{server.id} started: paced while cold"))
         if server.serving != (entry.state is i.ServerState.SERVING):
             self._actions.append(i.Log(f"{server.id} is {entry.state.value}"))
@@ -356,7 +361,9 @@
         server.quickest_us = min(event.delay_us, server.quickest_us or event.delay_us)
         self._last_took = server
         self._delay_us += DELAY_WEIGHT * (event.delay_us - self._delay_us)
-        if not self._is_cold(now, server):
+        if self._is_cold(now, server):
+            server.proven.add(now)
+        else:
             self._watch_throughput(now)
             server.throughput.stood += 1
         if event.delay_us < self._low_us and filled:
@@ -571,15 +578,19 @@
         chance. If all begin to hang within the span and are repeated after a third of it or later, at six
         tenths of their work, it comes to 13 sixteenths (one that hangs is charged as another). The rest is
         for chance, for proxies that have not heard of the start and for a server slower than it was. It
-        also holds with all others gone and after our restart, when we know less and earn less. May leave a
-        server that warms early partly idle, above all where few calls want it or where little stood there
-        before.
+        also holds with all others gone and after our restart, when we know less and earn less. Where little
+        stood before, or it warms early, what stands there now tells more: all proxies together may send half
+        as much again as it has just done, which is far from what tips it. One call less each, since where
+        proxies are many a single call makes no rate. May leave a server that warms early partly idle, above
+        all where few calls want it.
         """
         if not self._is_cold(now, server):
             return True
         tips_per_s = self._tips_per_s(now, server)
         idle = tips_per_s * COLD_IDLE * self._settings.fall_span_us / 1e6
-        flow = tips_per_s * COLD_FLOW * (now - server.cold_at_us) / 1e6
+        proven = (server.proven.faded(now) - 1) / max(1e-6, server.proven.span_s)
+        per_s = max(tips_per_s * COLD_FLOW, COLD_PROVEN * proven)
+        flow = per_s * (now - server.cold_at_us) / 1e6
         server.cold_credit = min(server.cold_credit + min(idle, flow), 1 + idle)
         server.cold_at_us = now
         return server.cold_credit >= 1
--- a/tests/test_cold_guard.py
+++ b/tests/test_cold_guard.py
@@ -149,3 +149,15 @@
         answer_all(bench, hanging=False)
     sent = len(messages(bench, "s0", hanging=False))
     assert sent >= 1 if proxies < 2 else sent <= 1
+
+
+def test_a_cold_server_that_does_what_it_is_sent_is_sent_more() -> None:
+    """One that warmed early, or was little used before, stayed two thirds idle for all of the cold time."""
+    setup = replace(SETTINGS, proxies=1)
+    bench = Bench(setup)
+    bench.feed(pool(server(0), server(1)))
+    offer(bench, START, 40 * MS, [0, 1], 0)  # 12.5 a second each
+    bench.feed(pool(server(0, START), server(1, gone=True), version=2, kind=i.ListKind.CHANGES))
+    offer(bench, START + 8 * S, 20 * MS, [0], 0)
+    last = [at for at, _ in messages(bench, "s0", hanging=False) if at > START + 7 * S]
+    assert len(last) > 20, "the pace alone lets a dozen through"
