Close unused connections to call servers only once what was on its way is heard

Checked: its server's set-ups had hung and been overtaken in the two seconds before, so their connection was retired and closed 1.5 s later; what the server writes at that moment is lost, and it says it again only on the next connection that opens. Ruled out: the callers' side, each of their connections answers its releases with 200. At fault: fronts/lanes.py, _close_retired, and _down, which dialled again only for connections in use. Changed: a retired connection is first shut for writing, not while calls set up there stand, and read to its end; one that breaks is followed by another in any case.

--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -281,14 +281,17 @@
             self._retired.append(lane)
             self.loop.after(RETIRED_FOR, lambda: self._close_retired(lane))
 
-    def _close_retired(self, lane: Lane) -> None:
+    def _close_retired(self, lane: Lane, finished: bool = False) -> None:
+        """First only say that no more comes: a release may be on its way, and closing would lose it."""
         if lane not in self._retired:
             return
-        if lane.attempts and not lane.connection.ended:
-            self.loop.after(RETIRED_FOR, lambda: self._close_retired(lane))
+        used = lane.attempts or lane.outbox or lane in self._standing.values()
+        if not finished and not used:
+            lane.connection.finish()
+        if not finished or used:
+            self.loop.after(RETIRED_FOR, lambda: self._close_retired(lane, not used))
             return
         self._retired.remove(lane)
-        self._unload(lane)
         lane.connection.close()
 
     def _expire(self, setup: Setup) -> None:
@@ -419,12 +422,22 @@
         for attempt in [attempt for attempt in lane.attempts.values() if attempt.sent_at is not None]:
             self._end(attempt, i.Outcome.RESET)
         self._unload(lane, never and not others)
-        if known and not never and not brief:
-            # Releases that were on their way there come again on the next connection that opens.
-            if len(self._lanes) < self._room and (self._entry.serving or self._standing or self._late_byes):
-                self._dial()
-        elif not self._lanes and (self._standing or self._late_byes):
-            self._connect_later()
+        if never or brief:
+            if not self._lanes and (self._standing or self._late_byes):
+                self._connect_later()
+        elif known or how is not End.CLOSED:
+            self._renew()
+
+    def _renew(self) -> None:
+        """Releases that were on their way on a connection that broke come again on the next that opens."""
+        if not (self._entry.serving or self._standing or self._late_byes):
+            return
+        if len(self._lanes) >= self._room:
+            spare = next((lane for lane in self._lanes if lane.free), None)
+            if spare is None:
+                return
+            self._retire(spare)
+        self._dial()
 
     def _unload(self, lane: Lane, unreachable: bool = False) -> None:
         """Take what waits on a lane that is no more to another; a refused connection proves that none ran."""
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -164,6 +164,10 @@
             return age > FIRST_ANSWER
         return not self.standing and silence > IDLE
 
+    def fitness(self, host: str) -> tuple[bool, bool, datetime]:
+        """How well it serves for the release of a call whose own connection, from that host, is gone."""
+        return self.proven, self.host == host, self.connection.heard_at
+
     def over(self, name: str) -> None:
         """A call that was answered here is over."""
         self.standing.discard(name)
@@ -311,7 +315,7 @@
         if link is None or link.connection.ended:
             host = link.host if link is not None else ""
             able = [other for other in self._links if other.set_ups and not other.connection.ended]
-            link = max(able, key=lambda other: (other.host == host, other.connection.heard_at), default=None)
+            link = max(able, key=lambda other: other.fitness(host), default=None)
         if link is not None:
             link.send_release(name, cause)
         elif len(self._waiting) < KEPT_RELEASES:
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -136,6 +136,14 @@
         if end is not End.OURS:
             tell(self, end)
 
+    def finish(self) -> None:
+        """Send no more and say so; what the peer has sent until it closes as well is still read."""
+        if self.up and not self.ended:
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self._loop.soon(lambda: self.close(End.RESET))
+
     def close_when_sent(self) -> None:
         """Close once all is written."""
         self._closing = True
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -68,6 +68,32 @@
     stage.play("server expect INVITE c1")
 
 
+def test_a_connection_used_no_more_still_hears_the_releases_of_its_calls() -> None:
+    """It was closed 1.5 s after an answer had been overtaken: a release on its way there was lost."""
+    stage = Platform("server", max_attempts=1)
+    stage.play(STANDS + """
+        wait 10
+        caller send INVITE c2 x-cos=small x-timer-ms=400
+        server expect INVITE c2
+        wait 300
+        server expect CANCEL c2
+        caller expect 503 c2
+        wait 4000
+        server expect nothing
+        server send BYE c1
+        server expect 200 c1
+        caller expect BYE c1
+        wait 1600
+        server expect CLOSED
+    """)
+
+
+def test_a_reset_connection_is_followed_by_another_on_which_releases_come_again() -> None:
+    stage = Platform("server")
+    stage.play(STANDS + "wait 200\n server close reset\n wait 20\n server send BYE c1\n server expect 200 c1")
+    stage.play("caller expect BYE c1")
+
+
 def test_a_second_copy_of_an_answer_leaves_the_call_standing() -> None:
     """It was taken for a late answer and released: the call was cut, and its caller not told."""
     stage = Platform("server")
