Widen the window to all calls there are while answers meet no line, take it back when they do

Checked: a probe of each set-up's time in the module and of each answer's delay. The good server answered in 47 ms where 34 ms are the way there and back, and 22 ms of 13 at the third controller: its processor had no line. The two far controllers had two set-ups open at most (window 2.3 to 2.5), which is some 40 a second at one server. At fault: control.py, _window_most: what stood in the way's time is what the window let through; and the growth rule's delay below the low mark, 50 ms there, of which the way takes 34 to 47.

--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -32,6 +32,7 @@
 WRONG_FORGIVEN = 0.5  # of that share is left when the flag drops, so that the server is tried again
 WINDOW_START = 2.0  # set-ups unanswered at one server before its delay is known
 WINDOW_LEAST = 1.0
+IDLE_LINE = 0.5  # of the low mark: an answer that waited less than this has met no line to speak of
 WINDOW_CUT = 0.5  # on a raised flag
 TICK_SHARE = 0.1  # of the high mark: how often held and unanswered calls are looked at
 COLD_FLOW = 7 / 16  # of what tips a cold server: what we send it, over time
@@ -366,10 +367,25 @@
         else:
             self._watch_throughput(now)
             server.throughput.stood += 1
-        if event.delay_us < self._low_us and filled:
-            server.window = min(self._window_most(now, server), server.window + 1 / server.window)
+        self._size_window(now, server, event.delay_us, filled)
         self._on_reading(now, server, event.delay_us)
 
+    def _size_window(self, now: int, server: Server, delay_us: int, filled: bool) -> None:
+        """Widen it where it was full and the answer quick; without any line, as far as our calls ask for.
+
+        What stood within the way there and back is no more than the window let through, so that alone would
+        keep a narrow one narrow: where few proxies are far from the servers, calls waited for a window while
+        the processors idled. A line takes back what was given beyond it.
+        """
+        most, wait_us = self._window_most(now, server), delay_us - (server.quickest_us or 0)
+        if wait_us < IDLE_LINE * self._low_us:
+            span_us = self._low_us + (server.quickest_us or self._quickest_us)
+            most = max(most, self._offered.per_s(now) * span_us / 1e6)
+        elif wait_us > self._low_us:
+            server.window = max(min(most, server.window), server.window - 1)
+        if filled and (delay_us < self._low_us or wait_us < IDLE_LINE * self._low_us):
+            server.window = max(server.window, min(most, server.window + 1 / server.window))
+
     def _window_most(self, now: int, server: Server) -> float:
         """Our share of a line that is as long as the low mark, where every proxy fills its own.
 
--- a/tests/test_flag_and_route.py
+++ b/tests/test_flag_and_route.py
@@ -323,3 +323,26 @@
     bench.stands(bench.call(first=1, left_us=9 * S), delay_us=4 * S)
     bench.run_for(1_500 * MS)
     assert bench.where(bench.call(first=1)) == "b"
+
+
+def test_a_far_server_without_a_line_gets_all_the_calls_there_are() -> None:
+    """Two open set-ups at a time over a long way were all it got: calls waited, and the processor idled."""
+    bench = with_pool("a")
+    due: list[tuple[int, int]] = []
+    for turn in range(400):
+        bench.run_for(20 * MS)
+        for at, call in [item for item in due if item[0] <= bench.now]:
+            due.remove((at, call))
+            bench.stands(call, 250 * MS)
+        if turn % 3 == 0:
+            bench.call(first=1)
+        due += [(bench.now + 250 * MS, call) for call in bench.out if all(call != known for _, known in due)]
+    held = [call for call in bench.owed if call not in bench.out]
+    assert len(held) <= 1 and not bench.finals
+    for _ in range(6):
+        bench.call(first=1)
+    bench.run_for(100 * MS)
+    before = bench.control._servers["a"].window
+    for call in list(bench.out)[:4]:
+        bench.stands(call, 600 * MS)
+    assert bench.control._servers["a"].window < before, "a line takes it back"
