Bound the wider window by the calls on the way, lest many proxies make a line together

Seen: tests/test_shedding.py (our share of a short line) failed after the last change: at eight proxies the window went to three. Its bound was all calls of the way and the low mark together, which is a line by itself where many proxies each allow for it. Now it is two and the calls that are on the way there and back.

--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -371,7 +371,7 @@
         self._on_reading(now, server, event.delay_us)
 
     def _size_window(self, now: int, server: Server, delay_us: int, filled: bool) -> None:
-        """Widen it where it was full and the answer quick; without any line, as far as our calls ask for.
+        """Widen it where it was full and the answer quick; without any line, by all our calls on the way.
 
         What stood within the way there and back is no more than the window let through, so that alone would
         keep a narrow one narrow: where few proxies are far from the servers, calls waited for a window while
@@ -379,8 +379,7 @@
         """
         most, wait_us = self._window_most(now, server), delay_us - (server.quickest_us or 0)
         if wait_us < IDLE_LINE * self._low_us:
-            span_us = self._low_us + (server.quickest_us or self._quickest_us)
-            most = max(most, self._offered.per_s(now) * span_us / 1e6)
+            most = max(most, WINDOW_START + self._offered.per_s(now) * (server.quickest_us or 0) / 1e6)
         elif wait_us > self._low_us:
             server.window = max(min(most, server.window), server.window - 1)
         if filled and (delay_us < self._low_us or wait_us < IDLE_LINE * self._low_us):
