Add the operators' door, one lifecycle, and a drain that closes what is idle

No new connection comes in a drain, so a call that stands has no other way back. Ruled out: the log shows no fault, and what was open was answered. At fault: Link.settled took a connection with calls that stand for an idle one. Now those stay open until their calls are over; all others close 0.6 s into the drain, when nothing is open on them, nothing unread lies with the system and the ACK has come, from 2 s on at the first moment. The loop serves urgent descriptors through an epoll of their own, first in a turn and every 32 pieces of work within it.

--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -16,21 +16,24 @@
 from reedmount.config import ConfigError, Operator, Platform, read_operator, read_platform
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import Clock
+from reedmount.core.lifecycle import Phase
 from reedmount.core.switch import Switch
 from reedmount.dns.server import UpdateServer, ZonePool
 from reedmount.dns.update import Master
 from reedmount.dns.zone import ZoneError, load
+from reedmount.fronts.admin import DOOR_SOCKETS, Door
 from reedmount.fronts.board import Board, Pool
 from reedmount.fronts.lanes import CallServers
 from reedmount.fronts.platform import Callers
 from reedmount.fronts.sip import SipFront, SipServers
+from reedmount.net.connection import Address
 from reedmount.net.loop import READ, Loop
 
 STILL_COMING = timedelta(milliseconds=1500)  # after SIGTERM, requests come for a while
 LOOK_AGAIN = timedelta(milliseconds=200)
 GC_AFTER = 20_000
-SPARE_SOCKETS = 64  # for call servers, the board, logs
-OWN_SOCKETS = 16  # of them: all but those to call servers
+OWN_SOCKETS = 16  # for all but callers, call servers and the door
+LANE_SOCKETS = 48  # to call servers; of few descriptors a quarter
 
 
 class Node:
@@ -40,7 +43,8 @@
         self._loop = loop
         self._switch = Switch(loop, settings, seed)
         self._callers: Callers | None = None
-        self._stopping = False
+        self._door: Door | None = None
+        self._lifecycle = self._switch.lifecycle
         self._reread: Callable[[], None] = lambda: None
         self.where = ""
 
@@ -49,11 +53,13 @@
         """The platform's thin front and its notice board."""
         config = read()
         made = cls(loop, config.settings, config.seed)
-        servers = CallServers(loop, made._switch, config.connect_wait, SPARE_SOCKETS - OWN_SOCKETS)
+        lanes = min(LANE_SOCKETS, config.sockets // 4)
+        servers = CallServers(loop, made._switch, config.connect_wait, lanes)
         made._switch.attach(servers)
         pool = Pool(made._switch)
         pool.start(config.known_last, config.known)
-        callers = made._callers = Callers(loop, made._switch, config.listen, config.sockets - SPARE_SOCKETS)
+        callers = made._callers = Callers(loop, made._switch, config.listen, _room(config))
+        made._open_door(config.control)
         made.where = f"{config.name} serves at {_text(callers.address)}"
         board = Board(loop, config.board, pool)
 
@@ -62,12 +68,12 @@
             old, config = config, read()
             made._settle(config.settings)
             servers.connect_wait = config.connect_wait
-            callers.most = config.sockets - SPARE_SOCKETS
+            callers.most = _room(config)
             pool.take(config.known_last, config.known)
             if config.board != old.board:
                 board.move(config.board)
-            if (config.listen, config.name) != (old.listen, old.name):
-                log("listen and name are taken at the next start only")
+            if (config.listen, config.name, config.control) != (old.listen, old.name, old.control):
+                log("listen, control and name are taken at the next start only")
 
         made._reread = reread
         return made
@@ -87,6 +93,7 @@
         master = Master(zone, config.updates.policy, pool.changed) if config.updates is not None else None
         if config.updates is not None and master is not None:
             UpdateServer(loop, config.updates.listen, master)
+        made._open_door(config.control)
         made.where = f"SIP served at {_text(front.endpoint.address)}, zone {zone.origin}"
 
         def reread() -> None:
@@ -99,14 +106,19 @@
             pool.reload(records, config.transports, config.zone if config.write_back else None)
             if master is not None and config.updates is not None:
                 master.reload(records, config.updates.policy)
-            places = [(item.sip.listen, item.sip.timers, item.updates and item.updates.listen)
+            places = [(item.sip.listen, item.sip.timers, item.updates and item.updates.listen, item.control)
                       for item in (old, config)]  # fmt: skip
             if places[0] != places[1]:
-                log("sip.listen, the timers and dns.update.listen are taken at the next start only")
+                log("sip.listen, timers, dns.update.listen and door.control are taken at the next start only")
 
         made._reread = reread
         return made
 
+    def _open_door(self, address: Address | None) -> None:
+        if address is not None:
+            self._door = Door(self._loop, address, self._lifecycle, lambda: self._switch.figures)
+            log(f"the door is at {_text(self._door.address)}")
+
     def _settle(self, settings: i.Settings) -> None:
         if settings != self._switch.settings:
             self._switch.settle(settings)
@@ -128,11 +140,9 @@
             log(f"counters: {COUNTERS.text()}")
         elif number == signal.SIGHUP:
             self.reload()
-        elif not self._stopping:
+        elif self._lifecycle.phase is not Phase.ENDING:
             log("stopping: answering what still comes")
-            self._stopping = True
-            if self._callers is not None:
-                self._callers.stopping_since = self._loop.clock.now()
+            self._lifecycle.end()
             self._loop.after(STILL_COMING, self._end_when_quiet)
 
     def _end_when_quiet(self) -> None:
@@ -142,6 +152,12 @@
             self._loop.after(LOOK_AGAIN, self._end_when_quiet)
 
 
+def _room(config: Platform) -> int:
+    """How many connections callers may have."""
+    lanes = min(LANE_SOCKETS, config.sockets // 4)
+    return config.sockets - OWN_SOCKETS - lanes - (DOOR_SOCKETS if config.control is not None else 0)
+
+
 def _text(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -45,6 +45,7 @@
     seed: int
     sockets: int
     board: Address
+    control: Address | None
     known_last: int
     known: list[Notice]
     settings: i.Settings
@@ -109,6 +110,7 @@
         number = int(seed, 16)
     except ValueError:
         raise ConfigError(f"seed: not hex digits: {seed!r}") from None
+    control = env.get("GW_CONTROL") or config.get("control")
     options = list(flatten(need(config, "settings")))
     limits = config.get("limits", {})
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
@@ -120,6 +122,7 @@
         seed=number,
         sockets=sockets,
         board=address(need(config, "board"), "board"),
+        control=address(control, "GW_CONTROL" if env.get("GW_CONTROL") else "control") if control else None,
         known_last=known_last,
         known=known,
         settings=on_sockets(options),
@@ -166,6 +169,7 @@
     transports: tuple[str, ...]
     write_back: bool
     updates: Updates | None
+    control: Address | None
     settings: i.Settings
 
 
@@ -254,7 +258,7 @@
     transports = dns_table.texts("transports", list(TRANSPORTS))
     if not transports or any(item not in TRANSPORTS for item in transports):
         raise ConfigError(f"dns.transports: of {TRANSPORTS} wanted, not {transports!r}")
-    updates = dns_table.table("update")
+    updates, door = dns_table.table("update"), top.table("door")
     made = Operator(
         sip=sip_settings,
         zone=path.parent / dns_table.get("zone", str),
@@ -262,9 +266,10 @@
         transports=tuple(transports),
         write_back=dns_table.get("write_back", bool, False),
         updates=_updates(updates) if dns_table.has("update") else None,
+        control=address(door.get("control", str), "door.control") if top.has("door") else None,
         settings=_module(module, classes),
     )
-    for table in (top, sip, dns_table, updates, module):
+    for table in (top, sip, dns_table, updates, door, module):
         table.done()
     return made
 
--- /dev/null
+++ b/reedmount/core/lifecycle.py
@@ -0,0 +1,89 @@
+"""The one lifecycle of a border controller: door and signals tell it, fronts and the door ask it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime
+from enum import Enum
+
+from reedmount.core.clock import Clock
+
+
+class Phase(Enum):
+    """Where in its life a border controller is."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    ENDING = "ending"
+
+
+class Need(Enum):
+    """What must be there before it is ready."""
+
+    LISTENING = "listening"
+    SERVERS = "the list of call servers"
+
+
+class Lifecycle:
+    """Starting, ready, draining, ending; a drain can be undone at any moment, an end cannot."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._needs = set(Need)
+        self._quiesced: datetime | None = None
+        self._ending: datetime | None = None
+        self._told: list[Callable[[], None]] = []
+        self._last = self.phase
+
+    def on_change(self, tell: Callable[[], None]) -> None:
+        """Hear of each change of the phase."""
+        self._told.append(tell)
+
+    @property
+    def phase(self) -> Phase:
+        """Where it is now."""
+        if self._ending is not None:
+            return Phase.ENDING
+        if self._quiesced is not None:
+            return Phase.DRAINING
+        return Phase.STARTING if self._needs else Phase.READY
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should come here."""
+        return self.phase is Phase.READY
+
+    @property
+    def leaving_since(self) -> datetime | None:
+        """Since when it drains or ends: what was taken is to be answered some time after that."""
+        return self._ending or self._quiesced
+
+    def met(self, need: Need) -> None:
+        """One thing more is there."""
+        self._needs.discard(need)
+        self._tell()
+
+    def quiesce(self) -> None:
+        """Drain; a drain that is under way goes on as it is."""
+        if self._quiesced is None:
+            self._quiesced = self._clock.now()
+        self._tell()
+
+    def resume(self) -> bool:
+        """Take clients again; False where the end has begun, which nothing undoes."""
+        self._quiesced = None
+        self._tell()
+        return self._ending is None
+
+    def end(self) -> None:
+        """The end has begun."""
+        if self._ending is None:
+            self._ending = self._clock.now()
+        self._tell()
+
+    def _tell(self) -> None:
+        before, self._last = self._last, self.phase
+        if self._last is not before:
+            for tell in self._told:
+                tell()
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -10,6 +10,7 @@
 from reedmount.control import Controller
 from reedmount.core.checks import COUNTERS, invariant, log
 from reedmount.core.clock import ZERO, Clock, micros, span, span_micros
+from reedmount.core.lifecycle import Lifecycle, Need
 from reedmount.core.ports import CUT, NORMAL, Caller, Listed, Offer, Servers, Setup
 from reedmount.net.loop import Actor, Loop
 
@@ -39,6 +40,7 @@
     def __init__(self, loop: Loop, settings: i.Settings, seed: int) -> None:
         self.settings = settings
         self._loop, self._clock = loop, loop.clock
+        self.lifecycle = Lifecycle(loop.clock)
         self._module = Controller(settings, seed)
         self._inbox: Actor[i.Event | i.Settings] = Actor(loop, self._handle)
         self._servers: Servers | None = None
@@ -77,6 +79,12 @@
         """Whether no call is open or standing."""
         return not self._by_number
 
+    @property
+    def figures(self) -> dict[str, int]:
+        """What is here, for the staff."""
+        open_calls = self.unanswered
+        return {"open": open_calls, "standing": sum(call.standing for call in self._by_number.values())}
+
     @property
     def unanswered(self) -> int:
         """How many calls are still owed their final answer."""
@@ -213,6 +221,7 @@
             for entry in entries
         )
         self._inbox.post(i.ServerList(version, kind, told))
+        self.lifecycle.met(Need.SERVERS)
 
     # --- the module ---
 
--- /dev/null
+++ b/reedmount/fronts/admin.py
@@ -0,0 +1,158 @@
+"""The operators' door: health, quiesce and resume over HTTP/1.1, one call a connection."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable
+from datetime import timedelta
+from urllib.parse import urlsplit
+
+import h11
+
+from reedmount.core.checks import COUNTERS, log
+from reedmount.core.lifecycle import Lifecycle
+from reedmount.net.connection import Address, Connection, End, listen
+from reedmount.net.loop import Actor, Loop
+
+VISITORS = 10  # at once: the one with the least claim goes when another comes
+DOOR_SOCKETS = VISITORS + 2  # with the listener and one that is being turned away
+SILENT = timedelta(seconds=5)  # for a whole call
+TAKE_LEAVE = timedelta(seconds=1)  # for the caller to close after its answer
+LONGEST_BODY = 65536
+HEALTH, QUIESCE, RESUME = "/admin/health", "/admin/quiesce", "/admin/resume"
+METHODS = {HEALTH: "GET", QUIESCE: "POST", RESUME: "POST"}
+
+
+class Visitor:
+    """The actor of one connection at the door."""
+
+    def __init__(self, door: Door, sock: socket.socket, order: int) -> None:
+        self._door, self.order = door, order
+        self._actor: Actor[Connection | End] = Actor(door.loop, self._handle)
+        self._http = h11.Connection(h11.SERVER)
+        self._request: h11.Request | None = None
+        self._body = 0
+        self.answered = False
+        self.connection = Connection(
+            door.loop, sock, self._actor.post, lambda _, how: self._actor.post(how), urgent=True
+        )
+        self.heard = False
+        self._timer = door.loop.after(SILENT, self.close)
+
+    def close(self) -> None:
+        """Its time is up, or its place is needed."""
+        self._timer.cancel()
+        self.connection.close()
+        self._actor.stop()
+        self._door.drop(self)
+
+    def claim(self) -> tuple[bool, bool, int]:
+        """How much of a claim it has to its place: answered ones the least, then silent, then old ones."""
+        return not self.answered, self.heard, self.order
+
+    def _handle(self, item: Connection | End) -> None:
+        if isinstance(item, End):
+            self.close()
+            return
+        ring = item.incoming
+        data = ring.peek()
+        ring.drop(len(data))
+        if self.answered or item.ended:
+            return
+        self.heard = True
+        try:
+            self._http.receive_data(data)
+            self._hear()
+        except (h11.RemoteProtocolError, ValueError) as error:
+            COUNTERS.add("door.malformed")
+            if not self.answered:
+                self._answer(getattr(error, "error_status_hint", 0) or 400, {"error": str(error)})
+
+    def _hear(self) -> None:
+        while not self.answered:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    self.connection.send(self._http.send(go_on) or b"")
+                return
+            if isinstance(event, h11.Request):
+                self._request = event
+            elif isinstance(event, h11.Data):
+                self._body += len(event.data)
+                if self._body > LONGEST_BODY:
+                    self._answer(413, {"error": "longer than any call here"})
+            elif isinstance(event, h11.EndOfMessage) and self._request is not None:
+                self._call(self._request)
+            else:
+                return
+
+    def _call(self, request: h11.Request) -> None:
+        path = urlsplit(request.target.decode("ascii")).path
+        method = METHODS.get(path)
+        if method is None:
+            self._answer(404, {"error": "no such call", "calls": sorted(METHODS)})
+        elif request.method.decode("ascii") != method:
+            self._answer(405, {"error": f"{path} takes {method}"}, (("Allow", method),))
+        else:
+            COUNTERS.add(f"door.{path.rpartition('/')[2]}")
+            self._answer(*self._door.called(path))
+
+    def _answer(self, status: int, body: dict[str, object], extra: tuple[tuple[str, str], ...] = ()) -> None:
+        """The answer; the connection closes after it, but not so hard that it is lost on its way."""
+        COUNTERS.add(f"door.{status}")
+        self.answered = True
+        text = json.dumps(body).encode() + b"\n"
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(text))),
+                   ("Cache-Control", "no-store"), ("Connection", "close"), *extra]  # fmt: skip
+        answer = h11.Response(status_code=status, headers=headers)
+        parts = (self._http.send(event) for event in (answer, h11.Data(data=text), h11.EndOfMessage()))
+        self.connection.send(b"".join(part or b"" for part in parts))
+        self.connection.finish()
+        self._timer.cancel()
+        self._timer = self._door.loop.after(TAKE_LEAVE, self.close)
+
+
+class Door:
+    """The listener and its visitors. Silent ones are bounded, and crowd out nobody who has a call to make."""
+
+    def __init__(
+        self, loop: Loop, address: Address, lifecycle: Lifecycle, figures: Callable[[], dict[str, int]]
+    ) -> None:
+        self.loop, self._lifecycle, self._figures = loop, lifecycle, figures
+        self._visitors: dict[Visitor, None] = {}
+        self._count = 0
+        self._sock = listen(loop, address, self._accept, urgent=True)
+
+    @property
+    def address(self) -> Address:
+        """Where operators call."""
+        host, port = self._sock.getsockname()
+        return host, port
+
+    def called(self, path: str) -> tuple[int, dict[str, object]]:
+        """Do what is asked; 2xx means yes."""
+        good = True
+        if path == HEALTH:
+            good = self._lifecycle.ready
+        elif path == QUIESCE:
+            log("door: quiesce")
+            self._lifecycle.quiesce()
+        else:
+            log("door: resume")
+            good = self._lifecycle.resume()
+        status = 200 if good else 503 if path == HEALTH else 409
+        return status, {"state": self._lifecycle.phase.value, **self._figures()}
+
+    def drop(self, visitor: Visitor) -> None:
+        """It has gone."""
+        self._visitors.pop(visitor, None)
+
+    def _accept(self, sock: socket.socket) -> None:
+        COUNTERS.add("door.connections")
+        if len(self._visitors) >= VISITORS:
+            COUNTERS.add("door.crowded_out")
+            min(self._visitors, key=Visitor.claim).close()
+        self._count += 1
+        self._visitors[Visitor(self, sock, self._count)] = None
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -8,6 +8,7 @@
 
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import whole_millis
+from reedmount.core.lifecycle import Need, Phase
 from reedmount.core.ports import NORMAL
 from reedmount.core.switch import Switch
 from reedmount.fronts.thin import bye, cause_of, name_of, offer_of
@@ -21,7 +22,10 @@
 FIRST_WORD = timedelta(milliseconds=2000)  # for a first whole message, and for the rest of one that has begun
 FIRST_ANSWER = timedelta(milliseconds=2200)  # with nothing open: what was sent until then is owed no answer
 IDLE = timedelta(seconds=5)  # callers close after 4 s without a call
-ANSWERED_BY = timedelta(milliseconds=3300)  # after SIGTERM: the end may come half a second later
+ANSWERED_BY = timedelta(milliseconds=3300)  # after SIGTERM or the begin of a drain: all is answered
+STILL_USED = timedelta(milliseconds=600)  # in a drain: so long clients have not heard of it
+SETTLED = timedelta(milliseconds=30)  # with nothing open and nothing said, until a drain closes a connection
+DRAIN_LATE = timedelta(milliseconds=2000)  # in a drain: from then on at the first moment with nothing open
 KEPT_RELEASES = 4096
 UNHEARD_RELEASES = 256  # for each connection
 MOST_OPEN = 128  # set-ups on one connection
@@ -63,6 +67,7 @@
         self._callers, self._switch = callers, callers.switch
         self._actor: Actor[Heard | Lost] = Actor(callers.loop, self._handle)
         self.host = host_of(sock)
+        self.told_at = callers.loop.clock.now()
         self.set_ups = 0  # that came here: a connection that only tested reaches no caller of a call
         self.proven = False  # a call has stood here
         self.heard = self.told = False  # a whole message has come; something was answered
@@ -164,6 +169,19 @@
             return age > FIRST_ANSWER
         return not self.standing and silence > IDLE
 
+    def settled(self, now: datetime, since: datetime) -> bool:
+        """Whether a drain that began then may close it: nothing is open and nothing on its way here.
+
+        Calls that stand keep it: no new connection comes, so their releases would reach nobody. The ACK of
+        an answer comes on it, and a set-up may; a little later only what is open or stands counts.
+        """
+        if self.open or self.standing or not self.heard or self.connection.unread:
+            return False
+        if now - since < STILL_USED:
+            return False
+        quiet = not self._unacked and now - max(self.connection.heard_at, self.told_at) > SETTLED
+        return quiet or now - since > DRAIN_LATE
+
     def fitness(self, host: str) -> tuple[bool, bool, datetime]:
         """How well it serves for the release of a call whose own connection, from that host, is gone."""
         return self.proven, self.host == host, self.connection.heard_at
@@ -190,7 +208,7 @@
             case "BYE":
                 self._bye(message)
             case "OPTIONS":
-                status = TEST_FAILED if self._callers.stopping_since else 200
+                status = 200 if self._switch.lifecycle.ready else TEST_FAILED
                 self._write(response(message, status).encode(), "out.test")
             case _:
                 self._write(response(message, 501).encode(), "out.not_known")
@@ -219,8 +237,9 @@
             return
         self.open[name] = message
         self._callers.tell_waiting(self)
-        if self._callers.stopping_since is not None:
-            offer = replace(offer, answer_by=min(offer.answer_by, self._callers.stopping_since + ANSWERED_BY))
+        leaving = self._switch.lifecycle.leaving_since
+        if leaving is not None:
+            offer = replace(offer, answer_by=min(offer.answer_by, leaving + ANSWERED_BY))
         if not self._switch.offer(offer, self):
             self._final(name, 400, [])
             self._strike()
@@ -262,8 +281,10 @@
 
     def _write(self, data: bytes, counter: str) -> None:
         COUNTERS.add(counter)
-        self.told = True
+        self.told, self.told_at = True, self._callers.loop.clock.now()
         self.connection.send(data)
+        if not self.open:
+            self._callers.nothing_open(self)
 
     def _forget(self) -> None:
         """The connection is gone: its open set-ups are given up, releases not heard go another way."""
@@ -285,13 +306,15 @@
 
     def __init__(self, loop: Loop, switch: Switch, address: Address, most: int) -> None:
         self.loop, self.switch = loop, switch
-        self.stopping_since: datetime | None = None
         self._relayed = 0  # since the last look
         self.most = most  # connections
         self._links: dict[Link, None] = {}
         self.homes: dict[str, Link] = {}  # where calls that stand were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
         self._sock = listen(loop, address, self._accept)
+        self._emptying = False
+        switch.lifecycle.on_change(self._empty)
+        switch.lifecycle.met(Need.LISTENING)
         switch.on_orphan(lambda name, cause: self.release(name, cause, None))
         loop.after(LOOK_EVERY, self._look)
 
@@ -348,6 +371,30 @@
         self._relayed += 1
         return self._relayed <= RELAYED
 
+    def nothing_open(self, link: Link) -> None:
+        """Late in a drain the first moment counts in which no set-up is open on a connection."""
+        if self._emptying:
+            self.loop.soon(lambda: self._close_settled([link]))
+
+    def _empty(self) -> None:
+        """A drain begins: look at the connections until it is over."""
+        if not self._emptying and self.switch.lifecycle.phase is Phase.DRAINING:
+            self._emptying = True
+            self._close_drained()
+
+    def _close_drained(self) -> None:
+        self._emptying = self.switch.lifecycle.phase is Phase.DRAINING
+        if self._emptying:
+            self._close_settled(list(self._links))
+            self.loop.after(SETTLED, self._close_drained)
+
+    def _close_settled(self, links: list[Link]) -> None:
+        now, since = self.loop.clock.now(), self.switch.lifecycle.leaving_since
+        for link in links:
+            if since is not None and not link.connection.ended and link.settled(now, since):
+                COUNTERS.add("in.drained")
+                link.close()
+
     def _look(self) -> None:
         """Close the connections that only take room."""
         self._relayed = 0
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -10,6 +10,7 @@
 from reedmount import interface as i
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import ZERO
+from reedmount.core.lifecycle import Need
 from reedmount.core.ports import CUT, NORMAL, CancelSetup, Listed, Offer, Release, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.thin import cause_of
@@ -27,6 +28,7 @@
 )
 ANSWER_EARLY = timedelta(milliseconds=40)
 SECOND = timedelta(seconds=1)
+LEAVING_RETRY = timedelta(seconds=5)  # for INVITEs that come while it drains or ends
 OUTCOMES = {
     480: (i.Outcome.FAILED, i.Cause.OTHER),
     486: (i.Outcome.FAILED, i.Cause.NUMBER_BUSY),
@@ -171,6 +173,7 @@
         self._count = 0
         self.endpoint = Endpoint(loop, settings.listen, settings.timers, self)
         self.endpoint.on_hop_lost = self._hop_lost
+        switch.lifecycle.met(Need.LISTENING)
 
     def forget(self, leg: Leg) -> None:
         """A client's leg is over."""
@@ -261,6 +264,11 @@
             raise SipError(400, "Contact is missing")
         if asked_by(message) in self._asked:
             raise SipError(482, "the same call came another way")  # 8.2.2.2: it would be set up twice
+        if self.switch.lifecycle.leaving_since is not None:
+            COUNTERS.add("sip.refused_leaving")
+            extra = [("Retry-After", str(LEAVING_RETRY // SECOND))]
+            transaction.respond(response(message, 503, extra, tag=self.token()))
+            return
         number = user_of(message.uri)
         kind = self.settings.class_of(number, message.get("X-Cos"))
         wait = self._wait(message, kind)
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -51,6 +51,7 @@
         on_data: Callable[[Connection], None],
         on_end: Callable[[Connection, End], None],
         on_sent: Callable[[Connection], None] = lambda _: None,
+        urgent: bool = False,
     ) -> None:
         self.incoming = Ring(IN_BOUND)
         self.up = True
@@ -58,7 +59,7 @@
         self.opened_at: datetime = loop.clock.now()
         self.heard_at: datetime = self.opened_at
         self._outgoing = Ring(OUT_BOUND)
-        self._loop, self._sock = loop, sock
+        self._loop, self._sock, self._urgent = loop, sock, urgent
         self._on_data, self._on_end, self._on_sent = on_data, on_end, on_sent
         self._timer: Timer | None = None
         self._closing = False
@@ -144,6 +145,16 @@
             except OSError:
                 self._loop.soon(lambda: self.close(End.RESET))
 
+    @property
+    def unread(self) -> bool:
+        """Whether something lies with the system that was not read: closing now would reset its sender."""
+        if self.ended or len(self.incoming):
+            return not self.ended
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def close_when_sent(self) -> None:
         """Close once all is written."""
         self._closing = True
@@ -154,7 +165,7 @@
         wanted = READ if self.up and not self._outgoing else READ | WRITE
         if wanted != self._watched:
             self._watched = wanted
-            self._loop.watch(self._sock.fileno(), wanted, self._ready)
+            self._loop.watch(self._sock.fileno(), wanted, self._ready, self._urgent)
 
     def _ready(self, events: int) -> None:
         if not self.up:
@@ -231,7 +242,9 @@
     raise AssertionError("unreachable")
 
 
-def listen(loop: Loop, address: Address, on_accept: Callable[[socket.socket], None]) -> socket.socket:
+def listen(
+    loop: Loop, address: Address, on_accept: Callable[[socket.socket], None], urgent: bool = False
+) -> socket.socket:
     """Accept connections at an address; the listening socket is returned, to close it with."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -244,7 +257,7 @@
     sock.setblocking(False)
 
     def watch() -> None:
-        loop.watch(sock.fileno(), READ, ready)
+        loop.watch(sock.fileno(), READ, ready, urgent)
 
     def ready(_: int) -> None:
         for _ in range(ACCEPTS):
--- a/reedmount/net/loop.py
+++ b/reedmount/net/loop.py
@@ -16,6 +16,7 @@
 T = TypeVar("T")
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 LONGEST_WAIT = timedelta(seconds=1)
+STRETCH = 32  # pieces of work, until urgent descriptors are looked at again
 
 
 def _nothing() -> None:
@@ -46,6 +47,10 @@
         self.clock = clock
         self.stopped = False
         self._epoll = select.epoll()
+        self._urgent = select.epoll()  # one epoll within the other: what is ready there comes first
+        self._epoll.register(self._urgent.fileno(), READ)
+        self._first: set[int] = set()  # the descriptors that are watched there
+        self._stretch = 0
         self._handlers: dict[int, Callable[[int], None]] = {}
         self._timers: list[Timer] = []
         self._ready: deque[Callable[[], None]] = deque()
@@ -67,18 +72,27 @@
         """Do it after a span."""
         return self.at(self.clock.now() + span, work)
 
-    def watch(self, fd: int, events: int, handler: Callable[[int], None]) -> None:
-        """Hear of a descriptor, or change what is heard of it."""
+    def watch(self, fd: int, events: int, handler: Callable[[int], None], urgent: bool = False) -> None:
+        """Hear of a descriptor, or change what is heard of it; of an urgent one before all others."""
+        epoll = self._urgent if urgent else self._epoll
         if fd in self._handlers:
-            self._epoll.modify(fd, events)
+            epoll.modify(fd, events)
         else:
-            self._epoll.register(fd, events)
+            epoll.register(fd, events)
         self._handlers[fd] = handler
+        if urgent:
+            self._first.add(fd)
 
     def unwatch(self, fd: int) -> None:
         """Hear no more of a descriptor; to be called before it is closed."""
         if self._handlers.pop(fd, None) is not None:
-            self._epoll.unregister(fd)
+            (self._urgent if fd in self._first else self._epoll).unregister(fd)
+            self._first.discard(fd)
+
+    @property
+    def watched(self) -> int:
+        """How many descriptors are heard of: all but a few that the process has open."""
+        return len(self._handlers)
 
     def run(self) -> None:
         """Serve until stopped."""
@@ -91,11 +105,14 @@
         wait = ZERO if busy else longest
         if self._timers:
             wait = max(ZERO, min(wait, self._timers[0].at - self.clock.now()))
-        for fd, events in self._epoll.poll(wait.total_seconds()):
+        found = self._epoll.poll(wait.total_seconds())
+        busy = self._urgent_first() or busy
+        for fd, events in found:
             handler = self._handlers.get(fd)  # one closed earlier in this turn is passed over
             if handler is not None:
                 self._do(handler, events)
                 busy = True
+                self._breathe()
         now = self.clock.now()
         while self._timers and self._timers[0].at <= now:
             timer = heapq.heappop(self._timers)
@@ -105,13 +122,35 @@
         return self._drain() or busy
 
     def close(self) -> None:
-        """Let the poller go."""
+        """Let the pollers go."""
         self._epoll.close()
+        self._urgent.close()
+
+    def _urgent_first(self) -> bool:
+        """Serve the urgent descriptors that are ready, with all that follows from it."""
+        found = self._urgent.poll(0) if self._first else []
+        for fd, events in found:
+            handler = self._handlers.get(fd)
+            if handler is not None:
+                held, self._ready = self._ready, deque()
+                self._do(handler, events)
+                while self._ready:
+                    self._do(self._ready.popleft())
+                self._ready = held
+        return bool(found)
+
+    def _breathe(self) -> None:
+        """A long turn is interrupted now and then for what is urgent."""
+        self._stretch += 1
+        if self._stretch >= STRETCH:
+            self._stretch = 0
+            self._urgent_first()
 
     def _drain(self) -> bool:
         busy = bool(self._ready)
         while self._ready:
             self._do(self._ready.popleft())
+            self._breathe()
         return busy
 
     @staticmethod
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,211 @@
+"""The operators' door, and the drain that it begins and undoes."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+from datetime import timedelta
+
+import pytest
+
+from reedmount.core.lifecycle import Lifecycle, Need, Phase
+from reedmount.fronts.admin import VISITORS, Door
+from reedmount.net.loop import READ
+from tests.scenario import HOST
+from tests.test_platform import SETUP, STANDS, Platform
+
+HEALTH = b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Building(Platform):
+    """The platform's front with a door."""
+
+    def __init__(self) -> None:
+        super().__init__("server")
+        self.door = Door(self.loop, (HOST, 0), self.switch.lifecycle, lambda: self.switch.figures)
+
+    def visit(self, data: bytes = b"") -> socket.socket:
+        sock = socket.create_connection(self.door.address)
+        sock.sendall(data)
+        self.settle()
+        return sock
+
+    def call(self, data: bytes) -> tuple[int, bytes]:
+        with self.visit(data) as sock:
+            sock.settimeout(5)
+            answer = b""
+            while part := sock.recv(4096):
+                answer += part
+            self.settle()
+        assert b"Connection: close\r\n" in answer
+        return int(answer.split(b" ")[1]), answer
+
+    def post(self, what: str) -> int:
+        return self.call(f"POST /admin/{what} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())[0]
+
+
+@pytest.fixture
+def stage() -> Iterator[Building]:
+    made = Building()
+    yield made
+    made.loop.close()
+
+
+def test_health_tells_the_state_and_what_is_here(stage: Building) -> None:
+    stage.play(STANDS)
+    status, answer = stage.call(HEALTH)
+    assert status == 200
+    assert json.loads(answer.partition(b"\r\n\r\n")[2]) == {"state": "ready", "open": 0, "standing": 1}
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "header"),
+    [
+        (b"GET /admin/nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404, b""),
+        (b"POST /admin/health HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405, b"Allow: GET\r\n"),
+        (b"GET /admin/quiesce HTTP/1.1\r\nHost: x\r\n\r\n", 405, b"Allow: POST\r\n"),
+        (b"GET /admin/health HTTP/1.1\r\n\r\n", 400, b""),
+        (b"\x16\x03\x01 what\r\n\r\n", 400, b""),
+        (b"GET http://[/admin/health HTTP/1.1\r\nHost: x\r\n\r\n", 400, b""),
+        (b"POST /admin/quiesce HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n", 400, b""),
+    ],
+)
+def test_what_is_no_call_is_answered_as_in_http(
+    stage: Building, data: bytes, status: int, header: bytes
+) -> None:
+    got, answer = stage.call(data)
+    assert got == status and header in answer
+    assert stage.switch.lifecycle.ready
+
+
+def test_quiesce_and_resume_may_be_said_twice(stage: Building) -> None:
+    assert [stage.post("quiesce"), stage.post("quiesce"), stage.call(HEALTH)[0]] == [200, 200, 503]
+    assert [stage.post("resume"), stage.post("resume"), stage.call(HEALTH)[0]] == [200, 200, 200]
+    stage.switch.lifecycle.end()
+    assert [stage.post("resume"), stage.call(HEALTH)[0]] == [409, 503]
+
+
+def test_silent_callers_crowd_out_nobody(stage: Building) -> None:
+    """Some connect and say nothing for seconds, some amid a call: whoever has one to make is still heard."""
+    silent = [stage.visit(b"GET /adm" if n % 2 else b"") for n in range(3 * VISITORS)]
+    assert stage.call(HEALTH)[0] == 200
+    assert len(stage.door._visitors) <= VISITORS
+    stage.wait(timedelta(seconds=6))
+    assert not stage.door._visitors
+    for sock in silent:
+        sock.close()
+
+
+def test_a_caller_at_the_door_is_served_before_all_others(stage: Building) -> None:
+    """At full load its turn came after all that had been ready before it."""
+    order: list[str] = []
+    pairs = [socket.socketpair() for _ in range(100)]
+
+    def busy(near: socket.socket) -> None:
+        near.recv(1)
+        order.append("call")
+
+    for near, far in pairs:
+        stage.loop.watch(near.fileno(), READ, lambda _, near=near: busy(near))  # type: ignore[misc]
+        far.send(b"x")
+    caller = socket.create_connection(stage.door.address)
+    caller.sendall(HEALTH)
+    caller.setblocking(False)
+    for _ in range(3):
+        stage.loop.turn(timedelta(0))
+        try:
+            if caller.recv(16):
+                order.append("door")
+        except BlockingIOError:
+            pass
+    assert "door" in order and stage.loop.watched > 100
+    assert order.index("door") <= 100, "answered in the turn after its connection came"
+    for sock in (caller, *(sock for pair in pairs for sock in pair)):
+        sock.close()
+
+
+def test_a_drain_closes_what_is_idle_and_answers_what_was_taken(stage: Building) -> None:
+    """A kept connection is used as long as it is open: nobody else ends it."""
+    stage.play(STANDS + "other send OPTIONS t\n other expect 200 t")
+    stage.peer("late", "thin", stage.callers.address)
+    stage.play("late send INVITE c2 x-cos=small x-timer-ms=9000\n server expect INVITE c2")
+    assert stage.post("quiesce") == 200
+    stage.play(f"""
+        other send OPTIONS t
+        other expect 503 t
+        other send {SETUP.replace("c1", "c3")}
+        server expect INVITE c3
+        other send CANCEL c3
+        server expect CANCEL c3
+        wait 700
+        other expect CLOSED
+        late expect nothing
+        caller expect nothing
+        server send 200 INVITE c2 | there
+        server expect ACK c2
+        late expect 200 c2 body=there
+        late send ACK c2
+        wait 100
+        late expect nothing
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        caller expect BYE c1
+        caller send 200 BYE
+        late send BYE c2
+        late expect 200 c2
+        server expect BYE c2
+        wait 100
+        caller expect CLOSED
+        late expect CLOSED
+    """)
+    assert stage.switch.quiet and stage.post("resume") == 200
+    stage.play("caller send OPTIONS t\n caller expect 200 t\n wait 2000\n caller expect nothing")
+
+
+def test_no_connection_is_kept_by_ever_more_set_ups(stage: Building) -> None:
+    """In time for the end of the drain the module ends what comes too late, and the connection goes."""
+    stage.post("quiesce")
+    for number in range(12):
+        stage.play(f"caller send INVITE d{number} x-cos=small x-timer-ms=9000\n wait 350")
+        if any(message.method == "CLOSED" for message in stage.peers["caller"].inbox):
+            break
+    else:
+        raise AssertionError("still open")
+    assert 9 <= number <= 11
+    assert stage.switch.unanswered == 0
+
+
+def test_resume_undoes_a_drain_before_anything_is_closed(stage: Building) -> None:
+    stage.play(STANDS)
+    stage.post("quiesce")
+    stage.play("wait 300\n caller expect nothing")
+    stage.post("resume")
+    stage.play("wait 2000\n caller expect nothing")
+
+
+def test_a_set_up_that_lies_unread_keeps_its_connection(stage: Building) -> None:
+    """It was on its way as the connection was closed: reset, and the request was lost."""
+    stage.play("caller send OPTIONS t\n caller expect 200 t")
+    link = next(iter(stage.callers._links))
+    stage.wait(timedelta(seconds=1))
+    now = stage.loop.clock.now()
+    assert link.settled(now, now - timedelta(seconds=3))
+    caller = stage.peers["caller"]
+    caller.write(caller.request("INVITE", "c1", {"x-cos": "small", "x-timer-ms": "2000"}, b"").encode())
+    assert not link.settled(now, now - timedelta(seconds=3))
+
+
+def test_the_lifecycle_starts_when_all_is_there_and_its_end_cannot_be_undone(stage: Building) -> None:
+    life, phases = Lifecycle(stage.loop.clock), []
+    life.on_change(lambda: phases.append(life.phase))
+    assert life.phase is Phase.STARTING
+    life.met(Need.LISTENING)
+    assert not life.ready
+    life.met(Need.SERVERS)
+    life.quiesce()
+    life.quiesce()
+    assert life.resume() and life.ready
+    life.end()
+    assert not life.resume()
+    assert phases == [Phase.READY, Phase.DRAINING, Phase.READY, Phase.ENDING]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -401,7 +401,7 @@
 
 
 def test_the_test_fails_once_the_node_is_stopping(stage: Platform) -> None:
-    stage.callers.stopping_since = stage.loop.clock.now()
+    stage.switch.lifecycle.end()
     stage.play("caller send OPTIONS t\n caller expect 503 t" + STANDS)
 
 
