Hand the listener to a process started beside this one, and join the two until the old one ends

Ruled out: a rush of clients at the new process (CPU at most 0.47 of a core in a second, the limit is doubled then), and two processes over the limits (31 of 80 MB, 33 of 384 descriptors). Lines that were at fault: listen() bound the address without SO_REUSEPORT and for itself alone. Found in the tests: a floor of 8 connections also held where the limit is lower.

--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -16,7 +16,7 @@
 from reedmount.config import ConfigError, Operator, Platform, read_operator, read_platform
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import Clock
-from reedmount.core.lifecycle import Phase
+from reedmount.core.lifecycle import Need, Phase
 from reedmount.core.switch import Switch
 from reedmount.dns.server import UpdateServer, ZonePool
 from reedmount.dns.update import Master
@@ -26,13 +26,16 @@
 from reedmount.fronts.lanes import CallServers
 from reedmount.fronts.platform import Callers
 from reedmount.fronts.sip import SipFront, SipServers
+from reedmount.fronts.twin import Heirs, ask
 from reedmount.net.connection import Address
 from reedmount.net.loop import READ, Loop
 
 STILL_COMING = timedelta(milliseconds=1500)  # after SIGTERM, requests come for a while
+NEWS_WAIT = timedelta(seconds=2)  # for the board, where another process has served until now
 LOOK_AGAIN = timedelta(milliseconds=200)
 GC_AFTER = 20_000
 OWN_SOCKETS = 16  # for all but callers, call servers and the door
+HEIR_SOCKETS = 24  # that a successor holds before it is ready
 LANE_SOCKETS = 48  # to call servers; of few descriptors a quarter
 
 
@@ -45,6 +48,7 @@
         self._callers: Callers | None = None
         self._door: Door | None = None
         self._lifecycle = self._switch.lifecycle
+        self._took = self._heirs_open = False
         self._reread: Callable[[], None] = lambda: None
         self.where = ""
 
@@ -57,11 +61,20 @@
         servers = CallServers(loop, made._switch, config.connect_wait, lanes)
         made._switch.attach(servers)
         pool = Pool(made._switch)
+        found = ask(config.handover, config.listen) if config.handover is not None else None
+        if found is not None:
+            made._lifecycle.also(Need.NEWS)  # until now another process heard of it
         pool.start(config.known_last, config.known)
-        callers = made._callers = Callers(loop, made._switch, config.listen, _room(config))
+        given, predecessor = found or (None, None)
+        callers = made._callers = Callers(loop, made._switch, config.listen, _room(config), given)
+        if predecessor is not None:
+            made._succeed(callers, predecessor)
         made._open_door(config.control)
         made.where = f"{config.name} serves at {_text(callers.address)}"
-        board = Board(loop, config.board, pool)
+        news = (lambda: made._lifecycle.met(Need.NEWS)) if found is not None else None
+        board = Board(loop, config.board, pool, news)
+        if config.handover is not None:
+            made._wait_for_heir(callers, config.handover)
 
         def reread() -> None:
             nonlocal config
@@ -114,6 +127,45 @@
         made._reread = reread
         return made
 
+    def _succeed(self, callers: Callers, predecessor: socket.socket) -> None:
+        """Take the clients of another process once this one is ready, and tell it so."""
+        log("a predecessor has given its listener")
+        callers.twin.join(predecessor)
+
+        def ready() -> None:
+            if self._lifecycle.ready and not self._took:
+                self._took = True
+                callers.listener.start()
+                callers.twin.tell("ready")
+
+        self._lifecycle.on_change(ready)
+        self._loop.after(NEWS_WAIT, lambda: self._lifecycle.met(Need.NEWS))
+
+    def _wait_for_heir(self, callers: Callers, folder: Path) -> None:
+        """Give the listener to a successor that asks for it, and the clients once it is ready."""
+        def joined(heir: socket.socket) -> None:
+            callers.reserve = HEIR_SOCKETS
+            callers.twin.join(heir)
+
+        def lost() -> None:
+            log("the other process is gone")
+            taken = self._lifecycle.superseded and self._lifecycle.phase is not Phase.ENDING
+            callers.take_back()
+            if taken:
+                heirs.open()
+
+        heirs = Heirs(self._loop, folder, callers.listener.sock, joined)
+        callers.twin.on("ready", lambda _: callers.hand_over())
+        callers.twin.on_lost = lost
+
+        def when_ready() -> None:
+            if self._lifecycle.ready and not self._heirs_open:
+                self._heirs_open = True
+                heirs.open()
+
+        self._lifecycle.on_change(when_ready)
+        when_ready()
+
     def _open_door(self, address: Address | None) -> None:
         if address is not None:
             self._door = Door(self._loop, address, self._lifecycle, lambda: self._switch.figures)
--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -46,6 +46,7 @@
     sockets: int
     board: Address
     control: Address | None
+    handover: Path | None  # the folder in which a successor finds this process
     known_last: int
     known: list[Notice]
     settings: i.Settings
@@ -123,6 +124,7 @@
         sockets=sockets,
         board=address(need(config, "board"), "board"),
         control=address(control, "GW_CONTROL" if env.get("GW_CONTROL") else "control") if control else None,
+        handover=Path(env["TMPDIR"]) if env.get("TMPDIR") else None,
         known_last=known_last,
         known=known,
         settings=on_sockets(options),
--- a/reedmount/core/lifecycle.py
+++ b/reedmount/core/lifecycle.py
@@ -23,6 +23,7 @@
 
     LISTENING = "listening"
     SERVERS = "the list of call servers"
+    NEWS = "news of the list"  # where another process has served until now
 
 
 class Lifecycle:
@@ -30,7 +31,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._needs = set(Need)
+        self._needs = {Need.LISTENING, Need.SERVERS}
+        self._superseded: datetime | None = None
         self._quiesced: datetime | None = None
         self._ending: datetime | None = None
         self._told: list[Callable[[], None]] = []
@@ -45,7 +47,7 @@
         """Where it is now."""
         if self._ending is not None:
             return Phase.ENDING
-        if self._quiesced is not None:
+        if self._quiesced is not None or self._superseded is not None:
             return Phase.DRAINING
         return Phase.STARTING if self._needs else Phase.READY
 
@@ -57,7 +59,17 @@
     @property
     def leaving_since(self) -> datetime | None:
         """Since when it drains or ends: what was taken is to be answered some time after that."""
-        return self._ending or self._quiesced
+        return self._ending or self._superseded or self._quiesced
+
+    @property
+    def superseded(self) -> bool:
+        """Whether another process takes the clients now."""
+        return self._superseded is not None
+
+    def also(self, need: Need) -> None:
+        """One thing more has to be there."""
+        self._needs.add(need)
+        self._tell()
 
     def met(self, need: Need) -> None:
         """One thing more is there."""
@@ -71,10 +83,15 @@
         self._tell()
 
     def resume(self) -> bool:
-        """Take clients again; False where the end has begun, which nothing undoes."""
+        """Take clients again; False where that cannot be: the end has begun, or another process has them."""
         self._quiesced = None
         self._tell()
-        return self._ending is None
+        return self._ending is None and self._superseded is None
+
+    def supersede(self, by_another: bool) -> None:
+        """Another process takes the clients from now on, or it has died and does no more."""
+        self._superseded = self._clock.now() if by_another else None
+        self._tell()
 
     def end(self) -> None:
         """The end has begun."""
--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -145,7 +146,10 @@
 class Board:
     """The actor that polls the notice board."""
 
-    def __init__(self, loop: Loop, address: Address, pool: Pool) -> None:
+    def __init__(
+        self, loop: Loop, address: Address, pool: Pool, on_news: Callable[[], None] | None = None
+    ) -> None:
+        self._on_news = on_news  # to be told once: then the first poll does not wait for later events
         self._loop, self._address, self._pool = loop, address, pool
         self._actor: Actor[Tick | Silence | Connection | tuple[Connection, End]] = Actor(loop, self._handle)
         self._connection: Connection | None = None
@@ -197,7 +201,7 @@
                 lambda connection, how: self._actor.post((connection, how)),
             )  # fmt: skip
         after = 0 if self._whole else self._pool.last
-        linger = 0 if self._whole else LINGER // timedelta(milliseconds=1)
+        linger = 0 if self._whole or self._on_news is not None else LINGER // timedelta(milliseconds=1)
         target = f"/board/poll?watch={after}&linger={linger}"
         host = f"{self._address[0]}:{self._address[1]}"
         asked = h11.Request(method="GET", target=target, headers=[("Host", host)])
@@ -248,6 +252,9 @@
             self._pool.renew(last, notices)
         elif last < self._pool.last or not self._pool.take(last, notices):
             self._whole = True
+        if not self._whole and self._on_news is not None:
+            told, self._on_news = self._on_news, None
+            told()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
         else:
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -12,7 +12,8 @@
 from reedmount.core.ports import NORMAL
 from reedmount.core.switch import Switch
 from reedmount.fronts.thin import bye, cause_of, name_of, offer_of
-from reedmount.net.connection import Address, Connection, End, listen
+from reedmount.fronts.twin import TELL_EVERY, Twin, Word
+from reedmount.net.connection import Address, Connection, End, Listener, bind
 from reedmount.net.loop import Actor, Loop
 from reedmount.sip.framing import next_frame
 from reedmount.sip.message import Message, SipError, parse_head, response
@@ -32,6 +33,8 @@
 UNPROVEN_OPEN = 16  # on one on which no call has stood yet
 STRIKES = 8  # messages that cannot be taken, until the connection is closed
 RELAYED = 16  # releases of unknown calls passed on to all servers, for each look
+UNWATCHED = 6  # descriptors of a process that its loop does not hear of
+LEAST_ROOM = 8  # connections, however many the other process of an upgrade holds
 REFUSED, FAILED = 503, 500
 TEST_FAILED = 503
 UNKNOWN_CALL = 481
@@ -175,9 +178,10 @@
         Calls that stand keep it: no new connection comes, so their releases would reach nobody. The ACK of
         an answer comes on it, and a set-up may; a little later only what is open or stands counts.
         """
-        if self.open or self.standing or not self.heard or self.connection.unread:
+        kept = self.standing and not self._callers.handed_over
+        if self.open or kept or not self.heard or self.connection.unread:
             return False
-        if now - since < STILL_USED:
+        if now - since < STILL_USED and not self._callers.handed_over:
             return False
         quiet = not self._unacked and now - max(self.connection.heard_at, self.told_at) > SETTLED
         return quiet or now - since > DRAIN_LATE
@@ -204,7 +208,8 @@
                 self._unacked.pop(message.call_id, None)
                 self._cancelled.discard(message.call_id)
             case "CANCEL":
-                self._cancel(message.call_id)
+                if not self.cancel(message.call_id):
+                    self._callers.twin.tell("cancel", name=message.call_id)
             case "BYE":
                 self._bye(message)
             case "OPTIONS":
@@ -254,18 +259,25 @@
     def _bye(self, message: Message) -> None:
         name = name_of(message)
         self._callers.over(name)
-        status = 200 if self._switch.knows(name) or self._callers.may_relay() else UNKNOWN_CALL
+        known = self._switch.knows(name)
+        status = 200 if known or self._callers.may_relay() else UNKNOWN_CALL
         self._write(response(message, status).encode(), "out.release_heard")
-        if status == 200:
-            self._switch.caller_released(name, cause_of(message))
+        cause = cause_of(message)
+        if status == 200 and (known or not self._callers.twin.tell("bye", name=name, cause=cause)):
+            self._switch.caller_released(name, cause)
 
-    def _cancel(self, name: str) -> None:
+    def cancel(self, name: str) -> bool:
+        """Give up a set-up that came here; False where none of that name did."""
         if self.open.pop(name, None) is not None:
             self._switch.caller_gone(name)
+            self._callers.nothing_open(self)
         elif name in self._unacked:
             # It crossed our answer: unless the caller takes that with an ACK, nobody is there to talk to.
             self._cancelled.add(name)
             self._callers.loop.after(ACK_WAIT, lambda: self._end_crossed(name))
+        else:
+            return False
+        return True
 
     def _end_crossed(self, name: str) -> None:
         if name in self._cancelled and self._unacked.pop(name, None) is not None:
@@ -301,35 +313,104 @@
 KNOWN = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS")
 
 
+def _release_of(word: Word) -> tuple[str, int]:
+    return str(word["name"]), int(word["cause"])
+
+
 class Callers:
     """All callers' connections."""
 
-    def __init__(self, loop: Loop, switch: Switch, address: Address, most: int) -> None:
+    def __init__(
+        self, loop: Loop, switch: Switch, address: Address, most: int, given: socket.socket | None = None
+    ) -> None:
         self.loop, self.switch = loop, switch
+        self.twin = Twin(loop)
+        self._held_there = 0  # descriptors of the other process
+        self.reserve = 0  # descriptors that a successor needs before it is ready
         self._relayed = 0  # since the last look
         self.most = most  # connections
         self._links: dict[Link, None] = {}
         self.homes: dict[str, Link] = {}  # where calls that stand were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
-        self._sock = listen(loop, address, self._accept)
+        self.listener = Listener(loop, given or bind(address, shared=True), self._accept)
         self._emptying = False
         switch.lifecycle.on_change(self._empty)
+        if given is None:
+            self.listener.start()
         switch.lifecycle.met(Need.LISTENING)
-        switch.on_orphan(lambda name, cause: self.release(name, cause, None))
+        switch.on_orphan(self._orphan)
+        for do in (self._heard_bye, self._heard_cancel, self._heard_server_bye, self._heard_release,
+                   self._heard_held):  # fmt: skip
+            self.twin.on(do.__name__.removeprefix("_heard_"), do)
         loop.after(LOOK_EVERY, self._look)
 
     @property
     def address(self) -> Address:
         """Where callers connect."""
-        host, port = self._sock.getsockname()
-        return host, port
+        return self.listener.address
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether new connections go to another process that is there."""
+        return self.switch.lifecycle.superseded and self.twin.there
+
+    def hand_over(self) -> None:
+        """Another process accepts from now on; what is here is gone through as in a drain."""
+        self.listener.stop()
+        self.switch.lifecycle.supersede(True)
+        self._tell_held()
+
+    def take_back(self) -> None:
+        """The other process has died: whatever waits at the listener is ours again."""
+        self._held_there = self.reserve = 0
+        if self.switch.lifecycle.superseded:
+            self.switch.lifecycle.supersede(False)
+            self.listener.start()
+
+    def _tell_held(self) -> None:
+        if self.handed_over and self.twin.tell("held", count=self.loop.watched + UNWATCHED):
+            self.loop.after(TELL_EVERY, self._tell_held)
+
+    def _heard_held(self, word: Word) -> None:
+        self._held_there = int(word["count"])
+
+    def _heard_bye(self, word: Word) -> None:
+        """A caller ended a call there that is not known there."""
+        self.switch.caller_released(*_release_of(word))
+
+    def _heard_cancel(self, word: Word) -> None:
+        """A caller gave up a set-up there that is not known there."""
+        any(link.cancel(str(word["name"])) for link in list(self._links))
+
+    def _heard_release(self, word: Word) -> None:
+        """A call of the other process is over, and it has no connection to say so."""
+        self.release(*_release_of(word), None, here=True)
+
+    def _heard_server_bye(self, word: Word) -> None:
+        """A server released a call there that is not known there."""
+        name, cause = _release_of(word)
+        if self.switch.knows(name):
+            self.switch.server_released(name, cause)
+        else:
+            self.release(name, cause, None)
+
+    @property
+    def room(self) -> int:
+        """How many connections there may be, with those of another process taken into account."""
+        return max(min(LEAST_ROOM, self.most), self.most - self._held_there - self.reserve)
+
+    def _orphan(self, name: str, cause: int) -> None:
+        """A server released a call that is not known here: the other process may know it."""
+        if not self.twin.tell("server_bye", name=name, cause=cause):
+            self.release(name, cause, None)
 
     @property
     def quiet(self) -> bool:
-        """Whether nothing waits to be told to a caller."""
-        return not self._waiting
+        """Whether nothing waits to be told to a caller, and none uses what another process should serve."""
+        used = self.handed_over and any(link.heard for link in self._links)
+        return not self._waiting and not used
 
-    def release(self, name: str, cause: int, link: Link | None) -> None:
+    def release(self, name: str, cause: int, link: Link | None, here: bool = False) -> None:
         """Tell callers that a call is over: on its connection, another that has set up calls, or the next.
 
         Not on one that never set up a call: clients that test once and keep the connection for good hear a
@@ -341,6 +422,8 @@
             link = max(able, key=lambda other: other.fitness(host), default=None)
         if link is not None:
             link.send_release(name, cause)
+        elif not here and self.handed_over and self.twin.tell("release", name=name, cause=cause):
+            return  # no connection comes here any more
         elif len(self._waiting) < KEPT_RELEASES:
             self._waiting[name] = cause
         else:
@@ -378,12 +461,11 @@
 
     def _empty(self) -> None:
         """A drain begins: look at the connections until it is over."""
-        if not self._emptying and self.switch.lifecycle.phase is Phase.DRAINING:
-            self._emptying = True
+        if not self._emptying:
             self._close_drained()
 
     def _close_drained(self) -> None:
-        self._emptying = self.switch.lifecycle.phase is Phase.DRAINING
+        self._emptying = self.switch.lifecycle.phase is Phase.DRAINING or self.handed_over
         if self._emptying:
             self._close_settled(list(self._links))
             self.loop.after(SETTLED, self._close_drained)
@@ -406,7 +488,7 @@
 
     def _accept(self, sock: socket.socket) -> None:
         COUNTERS.add("in.connections")
-        if len(self._links) >= self.most:
+        if len(self._links) >= self.room:
             # With calls that stand it is the way back to their callers; one that never had any goes first.
             idle = (link for link in self._links if not link.open and not link.standing)
             spare = min(idle, key=lambda link: (link.set_ups > 0, link.connection.heard_at), default=None)
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -15,7 +15,7 @@
 CHUNK = 65536
 IN_BOUND = 32768  # two messages of the longest kind
 OUT_BOUND = 262144  # a peer that leaves so much unread is given up
-BACKLOG = 512
+BACKLOG = 4096
 ACCEPTS = 32  # a turn: a crowd at the door must not keep all others waiting
 PORTS_TRIED = 20  # for a port that is free for both, where any will do
 ACCEPT_AGAIN = timedelta(milliseconds=100)
@@ -242,39 +242,78 @@
     raise AssertionError("unreachable")
 
 
-def listen(
-    loop: Loop, address: Address, on_accept: Callable[[socket.socket], None], urgent: bool = False
-) -> socket.socket:
-    """Accept connections at an address; the listening socket is returned, to close it with."""
+def bind(address: Address, shared: bool = False) -> socket.socket:
+    """A socket that listens at an address; a shared one leaves room for that of another process."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
         sock.listen(BACKLOG)
     except OSError:
         sock.close()
         raise
-    sock.setblocking(False)
+    return sock
+
 
-    def watch() -> None:
-        loop.watch(sock.fileno(), READ, ready, urgent)
+class Listener:
+    """A socket that connections are accepted from, or not for a while: they wait with the system then."""
 
-    def ready(_: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        on_accept: Callable[[socket.socket], None],
+        urgent: bool = False,
+    ) -> None:
+        self.sock = sock
+        self._loop, self._on_accept, self._urgent = loop, on_accept, urgent
+        self._open = False
+        sock.setblocking(False)
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self.sock.getsockname()
+        return host, port
+
+    def start(self) -> None:
+        """Accept from now on."""
+        self._open = True
+        self._loop.watch(self.sock.fileno(), READ, self._ready, self._urgent)
+
+    def stop(self) -> None:
+        """Accept no more."""
+        self._open = False
+        self._loop.unwatch(self.sock.fileno())
+
+    def _again(self) -> None:
+        if self._open:
+            self.start()
+
+    def _ready(self, _: int) -> None:
         for _ in range(ACCEPTS):
             try:
-                accepted, _peer = sock.accept()
+                accepted, _peer = self.sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as error:
                 # Out of descriptors: looked at again a little later, lest the loop turn for nothing else.
-                log(f"accept: {error}")
-                loop.unwatch(sock.fileno())
-                loop.after(ACCEPT_AGAIN, watch)
+                log(f"accept: {error}", "accept")
+                self._loop.unwatch(self.sock.fileno())
+                self._loop.after(ACCEPT_AGAIN, self._again)
                 return
-            on_accept(accepted)
+            self._on_accept(accepted)
 
-    watch()
-    return sock
+
+def listen(
+    loop: Loop, address: Address, on_accept: Callable[[socket.socket], None], urgent: bool = False
+) -> socket.socket:
+    """Accept connections at an address; the listening socket is returned, to close it with."""
+    listener = Listener(loop, bind(address), on_accept, urgent)
+    listener.start()
+    return listener.sock
 
 
 def address_of(text: str) -> Address:
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,252 @@
+"""Two processes, one border controller: the listener changes hands, each passes on what is the other's."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import stat
+import time
+from collections.abc import Iterator
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from reedmount import interface as i
+from reedmount.core.checks import COUNTERS
+from reedmount.core.lifecycle import Phase
+from reedmount.core.ports import Listed
+from reedmount.core.switch import Switch
+from reedmount.fronts.board import Board, Pool
+from reedmount.fronts.lanes import CallServers
+from reedmount.fronts.platform import Callers
+from reedmount.fronts.twin import FILE, Heirs, ask
+from reedmount.net.connection import bind
+from tests.scenario import HOST, Stage
+from tests.test_board import notice
+from tests.test_config import platform
+from tests.test_platform import SETUP, STANDS, Platform
+from tests.test_start import line, started
+
+
+class Pair(Platform):
+    """An old process and a new one on one loop, joined as after a start; ``late`` calls at the new one."""
+
+    def __init__(self) -> None:
+        super().__init__("server")
+        self.heir = Switch(self.loop, self.switch.settings, 2)
+        self.heir.attach(CallServers(self.loop, self.heir, timedelta(milliseconds=500), 16))
+        self.new = Callers(self.loop, self.heir, (HOST, 0), 100, bind((HOST, 0)))
+        near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self.callers.twin.join(near)
+        self.callers.twin.on("ready", lambda _: self.callers.hand_over())
+        self.callers.twin.on_lost = self.callers.take_back
+        self.new.twin.join(far)
+        self.new.listener.start()
+        self.peer("late", "thin", self.new.address)
+        entry = Listed("server", (HOST, self.peers["server"].port), 1, True, False, None)
+        self.heir.pool(1, i.ListKind.CHANGES, [entry])
+
+    def ready(self) -> None:
+        self.new.twin.tell("ready")
+        self.settle()
+
+
+@pytest.fixture
+def stage() -> Iterator[Pair]:
+    made = Pair()
+    yield made
+    made.loop.close()
+
+
+def test_the_old_one_closes_what_is_idle_and_its_calls_go_on(stage: Pair) -> None:
+    """What it has taken it answers; calls that stand are released by way of the new one's connections."""
+    stage.play(STANDS + f"other send {SETUP.replace('c1', 'c2')}\n server expect INVITE c2")
+    stage.ready()
+    assert stage.switch.lifecycle.phase is Phase.DRAINING and not stage.switch.lifecycle.resume()
+    stage.play("""
+        wait 100
+        caller expect CLOSED
+        other expect nothing
+        server send 200 INVITE c2 | there
+        server expect ACK c2
+        other expect 200 c2 body=there
+        other send ACK c2
+        wait 100
+        other expect CLOSED
+        server expect nothing
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        late send INVITE c3 x-cos=small x-timer-ms=2000
+        late expect BYE c1
+        server expect INVITE c3
+        server send BYE c2 reason=Q.850;cause=16
+        server expect 200 c2
+        late expect BYE c2
+    """)
+    assert stage.switch.quiet and not stage.heir.quiet
+
+
+def test_a_release_and_a_cancel_that_reach_the_wrong_process_go_to_the_other(stage: Pair) -> None:
+    stage.play(STANDS + f"other send {SETUP.replace('c1', 'c2')}\n server expect INVITE c2")
+    stage.ready()
+    stage.play("""
+        late send BYE c1
+        late expect 200 c1
+        server expect BYE c1
+        late send CANCEL c2
+        server expect CANCEL c2
+        server expect nothing
+    """)
+    assert stage.switch.quiet and stage.heir.quiet
+    COUNTERS.add("twin.out.bye", -COUNTERS["twin.out.bye"])
+    stage.play("late send BYE c9\n late expect 200 c9\n server expect BYE c9\n server expect nothing")
+    assert COUNTERS["twin.out.bye"] == 1, "what neither knows is not passed to and fro"
+
+
+def test_a_server_s_release_that_reaches_the_new_one_first_is_told_once(stage: Pair) -> None:
+    """Servers repeat a release on the next connection that opens: in an upgrade, the new process's."""
+    stage.play(STANDS)
+    stage.ready()
+    stage.play("wait 100\n caller expect CLOSED\n late send INVITE c3 x-cos=small x-timer-ms=2000")
+    stage.play("""
+        server expect INVITE c3
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        late expect BYE c1
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        late expect nothing
+    """)
+    assert stage.switch.quiet
+
+
+def test_the_new_one_takes_the_room_that_is_left(stage: Pair) -> None:
+    """Descriptors are counted for both together."""
+    stage.ready()
+    stage.wait(timedelta(milliseconds=250))
+    assert stage.new.room == 100 - stage.loop.watched - 6
+    stage.new.twin._hear({"what": "held", "count": 1000})
+    assert stage.new.room == 8
+    stage.new.twin._hear({"what": "held"})
+    stage.new.twin._hear({"what": "a word of another version"})
+    assert stage.new.room == 8
+
+
+def test_the_old_one_takes_clients_again_when_the_new_one_dies(stage: Pair) -> None:
+    stage.ready()
+    client = socket.create_connection(stage.callers.address)  # waits at the listener
+    client.sendall(b"OPTIONS sip:p@net SIP/2.0\r\nCall-ID: t\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n")
+    stage.settle()
+    assert not stage.callers._links
+    assert stage.new.twin._channel is not None
+    stage.new.twin._channel.close()
+    stage.settle()
+    assert stage.switch.lifecycle.ready and client.recv(12) == b"SIP/2.0 200 "
+    client.close()
+
+
+def test_the_listener_is_given_and_keeps_who_waits_there(tmp_path: Path) -> None:
+    """Where the old one closed a listener of its own, the system reset whoever waited at it."""
+    stage, deep = Stage(), tmp_path / ("deep" * 30)
+    deep.mkdir()
+    old = bind((HOST, 0), shared=True)
+    waiting = [socket.create_connection(old.getsockname()) for _ in range(50)]
+    joined: list[socket.socket] = []
+    heirs = Heirs(stage.loop, deep, old, joined.append)
+    heirs.open()
+    assert stat.S_IMODE((deep / FILE).stat().st_mode) == 0o600
+    child = os.fork()
+    if not child:
+        stage.loop.turn(timedelta(seconds=5))
+        os._exit(0)
+    found = ask(deep, old.getsockname())
+    os.waitpid(child, 0)
+    old.close()
+    assert found is not None
+    listener, predecessor = found
+    for _ in waiting:
+        accepted, _ = listener.accept()
+        accepted.sendall(b"x")
+        accepted.close()
+    assert all(sock.recv(1) == b"x" for sock in waiting)
+    for sock in (listener, predecessor, *waiting):
+        sock.close()
+
+
+def test_a_dead_one_s_file_a_silent_one_and_none_at_all_give_nothing(tmp_path: Path) -> None:
+    wait = timedelta(milliseconds=50)
+    assert ask(tmp_path, (HOST, 1), wait) is None
+    (tmp_path / FILE).write_text("no socket")
+    assert ask(tmp_path, (HOST, 1), wait) is None
+    (tmp_path / FILE).unlink()
+    silent = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    silent.bind(str(tmp_path / FILE))
+    silent.listen()
+    assert ask(tmp_path, (HOST, 1), wait) is None
+    silent.close()
+    assert ask(tmp_path, (HOST, 1), wait) is None, "a dead one's file"
+    stage = Stage()
+    heirs = Heirs(stage.loop, tmp_path, bind((HOST, 0)), lambda _: None)
+    heirs.open()
+    again = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    again.connect(str(tmp_path / FILE))
+    again.close()
+    stage.loop.close()
+
+
+def test_the_board_s_news_are_read_before_the_new_one_is_ready(tmp_path: Path) -> None:
+    """The file is as old as the old process: servers that have gone since would be sent calls."""
+    stage = Stage()
+    server, told = socket.create_server((HOST, 0)), []
+    Board(stage.loop, server.getsockname(), Pool(Switch(stage.loop, platform(tmp_path).settings, 1)),
+          lambda: told.append(1))  # fmt: skip
+    stage.settle()
+    board, _ = server.accept()
+    for news in (False, True):
+        stage.settle()
+        asked = board.recv(4096)
+        assert (b"linger=0 " in asked) is not news and len(told) == news
+        body = json.dumps({"rev": 0, "notices": []}).encode()
+        board.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    board.close()
+    server.close()
+
+
+def test_an_upgrade_loses_no_request_and_the_next_one_follows(tmp_path: Path) -> None:
+    """Two binds of one address: the second process ended at once, and the day with it."""
+    platform(tmp_path, known={"rev": 1, "notices": [notice(1, whole=True)]})
+    env = {"GW_CONFIG": str(tmp_path / "config.json"), "TMPDIR": str(tmp_path)}
+    setup = (b"INVITE sip:00000000000000a7@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 INVITE\r\n"
+             b"X-Cos: plain\r\nX-Timer-Ms: 3000\r\nContent-Length: 0\r\n\r\n")  # fmt: skip
+    count = 0
+
+    def ask_once(address: tuple[str, int]) -> None:
+        nonlocal count
+        count += 1
+        with socket.create_connection(address, 5) as caller:
+            caller.settimeout(10)
+            caller.sendall(setup % count)
+            assert caller.recv(4096).startswith(b"SIP/2.0 503 "), count
+
+    with started(**env, GW_LISTEN=f"{HOST}:0") as old:
+        address = (HOST, int(line(old).rpartition(":")[2]))
+        ask_once(address)
+        with started(**env, GW_LISTEN=f"{HOST}:{address[1]}") as new:
+            assert "a successor has been given" in line(old)
+            assert "a predecessor has given" in line(new)
+            assert line(new).endswith(f":{address[1]}\n")
+            until = time.monotonic() + 3  # it waits 2 s for a board that is not there
+            while time.monotonic() < until:
+                ask_once(address)
+            old.send_signal(signal.SIGTERM)
+            assert old.wait(20) == 0
+            assert old.stderr is not None and b"twin.in.ready=1" in old.stderr.read()
+            ask_once(address)
+            with started(**env, GW_LISTEN=f"{HOST}:{address[1]}") as third:
+                while "a predecessor has given" not in line(third):
+                    pass
+                new.kill()
+                ask_once(address)
