--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -78,7 +78,7 @@
 
         def reread() -> None:
             nonlocal config
-            old, config = config, read()
+            old, config = config, read().follows(config)
             made._settle(config.settings)
             servers.connect_wait = config.connect_wait
             callers.most = _room(config)
--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -5,6 +5,7 @@
 import base64
 import ipaddress
 import json
+import math
 import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
@@ -29,6 +30,14 @@
 T = TypeVar("T")
 N = TypeVar("N", int, float)
 
+# What must be a number, and what it must be above; the rest may be 0.
+FIGURES: dict[str, dict[str, float | None]] = {
+    "": {"balancers": 0, "over_share_worth": None},
+    "specifics": {"retransmit": None, "clear_wait": None},
+    "rules": {"cold": None, "start_capacity": None, "fall_multiple": None, "tip_after": None},
+    "allowed": {"max_attempts": 0.5},
+}
+CLASS_FIGURES: dict[str, float | None] = {"deadline": 0, "target": 0, "worth": None, "late_share": None}
 RELEASE_MARGIN = millis(60)  # limits on sockets are 50 ms wider, and a message has its way to go
 
 
@@ -51,6 +60,13 @@
     known: list[Notice]
     settings: i.Settings
     connect_wait: timedelta
+    keys: frozenset[str]  # that the file has
+
+    def follows(self, old: Platform) -> Platform:
+        """Itself, where it has all that the one before had: some keys have a default at the first start."""
+        for key in sorted(old.keys - self.keys):
+            raise ConfigError(f"{key} is missing")
+        return self
 
 
 def flatten(value: Any, path: str = "") -> Iterator[str]:
@@ -112,10 +128,11 @@
     except ValueError:
         raise ConfigError(f"seed: not hex digits: {seed!r}") from None
     control = env.get("GW_CONTROL") or config.get("control")
-    options = list(flatten(need(config, "settings")))
+    check_settings(need(config, "settings"))
+    options = list(flatten(config["settings"]))
     limits = config.get("limits", {})
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
-    if not isinstance(sockets, int) or sockets < 64:
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
         raise ConfigError(f"limits.sockets: not a number of 64 or more: {sockets!r}")
     return Platform(
         name=env.get("GW_NAME") or str(need(config, "name")),
@@ -129,9 +146,52 @@
         known=known,
         settings=on_sockets(options),
         connect_wait=connect_wait(options),
+        keys=frozenset(keys_of({key: item for key, item in config.items() if key != "known"})),
     )
 
 
+def keys_of(value: Any, path: str = "") -> Iterator[str]:
+    """The keys of nested objects; of the classes those that all of them have."""
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield f"{path}{key}"
+            yield from keys_of(item, f"{path}{key}.")
+    elif path == "settings.classes.":
+        yield from set.intersection(*({*keys_of(item, path)} for item in value)) - {f"{path}aim_stretch"}
+
+
+def figure(source: Any, key: str, path: str, above: float | None = None) -> None:
+    """A number that must be there, finite and not below 0, or above a bound."""
+    value = need(source, key, path)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        raise ConfigError(f"{path}{key}: not a number: {value!r}")
+    if value < 0 or above is not None and value <= above:
+        raise ConfigError(f"{path}{key}: not above {above or 0}: {value!r}")
+
+
+def check_settings(raw: Any) -> None:
+    """What the wire's text would not show any more: what is no number, no class, or no object at all."""
+    if not isinstance(raw, dict) or not raw:
+        raise ConfigError("settings: not an object with keys")
+    for table, keys in FIGURES.items():
+        part = need(raw, table, "settings.") if table else raw
+        path = f"settings.{table}.".replace("..", ".")
+        if not isinstance(part, dict):
+            raise ConfigError(f"settings.{table}: not an object")
+        for key, above in keys.items():
+            figure(part, key, path, above)
+    classes = need(raw, "classes", "settings.")
+    if not isinstance(classes, list) or not classes or not all(isinstance(kind, dict) for kind in classes):
+        raise ConfigError("settings.classes: not a list of classes")
+    for index, kind in enumerate(classes):
+        path = f"settings.classes.{index}."
+        name = need(kind, "name", path)
+        if not isinstance(name, str) or not name or name in [kind["name"] for kind in classes[:index]]:
+            raise ConfigError(f"{path}name: not a name of its own: {name!r}")
+        for key, above in CLASS_FIGURES.items():
+            figure(kind, key, path, above)
+
+
 def on_sockets(options: list[str]) -> i.Settings:
     """The module's settings, read as the simulator's adapter reads them, with room for the way."""
     try:
--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -117,6 +117,7 @@
     answer_by_us: int
     worth: float  # in time, by its tenant's rate when it came
     late_worth: float
+    rules: i.Settings  # those it came in under
     attempts: int = 0
     held_us: int = 0  # since when it waits
     server: Server | None = None  # where an attempt is out
@@ -299,6 +300,7 @@
             answer_by_us=event.answer_by_us,
             worth=worth,
             late_worth=worth * kind.late_share,
+            rules=self._settings,
             held_us=now,
         )
         # A redial may come with less time left than a tick: it would be past its time before we look again.
@@ -410,7 +412,7 @@
         call.held_us = now
         if event.outcome in (i.Outcome.TIMED_OUT, i.Outcome.RESET, i.Outcome.CANCELLED):
             # The release rule: what the attempt held may stay taken for a while.
-            call.not_before_us = now + self._settings.release_wait_us
+            call.not_before_us = now + call.rules.release_wait_us
         if event.outcome not in (i.Outcome.FULL, i.Outcome.UNREACHABLE, i.Outcome.NOT_SENT):
             call.may_have_run = True
         if event.cause is i.Cause.NUMBER_BUSY and call.number is not None:
@@ -551,8 +553,8 @@
         for key in [key for key, sent in server.hung.items() if sent < server.answered_sent_us]:
             del server.hung[key]
             call = self._calls.get(key[0])
-            out = call is not None and call.server is server and call.attempts < self._settings.max_attempts
-            if out and self._settings.may_cancel:
+            out = call is not None and call.server is server and call.attempts < call.rules.max_attempts
+            if call is not None and out and call.rules.may_cancel:
                 self._actions.append(i.CancelAttempt(*key))
 
     # --- the cold guard ---
@@ -706,7 +708,7 @@
         caller hears at once. Keeping it to the end of the caller's time would only put the redial off.
         """
         earliest = max(now, call.not_before_us)
-        spent = call.attempts >= self._settings.max_attempts or len(call.faults) >= FAULTS_MOST
+        spent = call.attempts >= call.rules.max_attempts or len(call.faults) >= FAULTS_MOST
         spent = spent or len(set(call.faults)) >= FAULTS_AT_TWO
         waited = now >= max(call.aim_at_us, call.held_us + HOLD * self._gap_us)
         over = earliest + ANSWER_MARGIN * self._tick_us >= call.answer_by_us
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 
 from reedmount import interface as i
@@ -45,6 +45,7 @@
         self._inbox: Actor[i.Event | i.Settings] = Actor(loop, self._handle)
         self._servers: Servers | None = None
         self.classes = {kind.name: kind for kind in settings.classes}
+        self._leaving: dict[str, i.CallClass] = {}  # dropped, with calls open
         self._by_number: dict[int, Call] = {}
         self._by_name: dict[str, Call] = {}
         self._next = 1
@@ -60,10 +61,16 @@
         self._orphans.append(released)
 
     def settle(self, settings: i.Settings) -> None:
-        """Go by new settings from now on; the calls that are here go on as they are."""
+        """Go by new settings from now on; the calls that are here go on as they are.
+
+        A class that is dropped lives until the last call is answered that came in under it.
+        """
         self.settings = settings
-        self.classes = {kind.name: kind for kind in settings.classes}
-        self._inbox.post(settings)
+        fresh = {kind.name: kind for kind in settings.classes}
+        left = {call.offer.call_class for call in self._by_number.values() if not call.gone} - fresh.keys()
+        self._leaving = {name: self.classes[name] for name in sorted(left)}
+        self.classes = {**self._leaving, **fresh}
+        self._inbox.post(replace(settings, classes=(*settings.classes, *self._leaving.values())))
 
     def knows(self, name: str) -> bool:
         """Whether a call of this name is here, or was lately."""
@@ -154,6 +161,7 @@
             self._drop(call)
             return False
         call.gone = call.standing = True
+        self._let_class_go(call.offer.call_class)
         COUNTERS.add("answered.stands")
         call.caller.answered(name, description)
         self._inbox.post(i.CallStands(call.number, call.attempts - 1, call.server, span_micros(delay)))
@@ -335,8 +343,15 @@
         if len(self._over) > REMEMBERED:
             del self._over[next(iter(self._over))]
 
+    def _let_class_go(self, name: str) -> None:
+        if name in self._leaving and not any(
+            call.offer.call_class == name and not call.gone for call in self._by_number.values()
+        ):
+            del self._leaving[name], self.classes[name]
+
     def _drop(self, call: Call) -> None:
         self._remember(call.offer.name)
         self._by_number.pop(call.number, None)
+        self._let_class_go(call.offer.call_class)
         if self._by_name.get(call.offer.name) is call:
             del self._by_name[call.offer.name]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -26,6 +27,11 @@
 }  # fmt: skip
 
 
+def changed(**changes: Any) -> dict[str, Any]:
+    """The settings with another class."""
+    return {**SETTINGS, "classes": [{**SETTINGS["classes"][0], **changes}]}  # type: ignore[index]
+
+
 def platform(folder: Path, env: dict[str, str] | None = None, **changes: Any) -> Any:
     config = {
         "name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f", "limits": {"sockets": 1024},
@@ -60,8 +66,20 @@
         ({"seed": "xyz"}, "seed: not hex digits"),
         ({"known": {"rev": 1}}, "known: "),
         ({"limits": {"sockets": 3}}, "limits.sockets"),
-        ({"settings": {**SETTINGS, "balancers": "many"}}, "settings: setting balancers"),
-        ({"settings": {**SETTINGS, "rules": {}}}, "setting rules.cold is missing"),
+        ({"settings": {**SETTINGS, "balancers": "many"}}, "settings.balancers: not a number: 'many'"),
+        ({"settings": {**SETTINGS, "rules": {}}}, "settings.rules.cold is missing"),
+        ({"settings": {**SETTINGS, "rules": 3}}, "settings.rules: not an object"),
+        ({"settings": {}}, "settings: not an object with keys"),
+        ({"settings": {**SETTINGS, "classes": []}}, "settings.classes: not a list of classes"),
+        ({"settings": changed(deadline=-5)}, "settings.classes.0.deadline: not above 0: -5"),
+        ({"settings": changed(deadline=True)}, "settings.classes.0.deadline: not a number: True"),
+        ({"settings": changed(target=math.nan)}, "settings.classes.0.target: not a number: nan"),
+        ({"settings": changed(worth="much")}, "settings.classes.0.worth: not a number: 'much'"),
+        ({"settings": changed(name="")}, "settings.classes.0.name: not a name of its own"),
+        ({"settings": changed(effect="none")}, "effect"),
+        ({"settings": {**SETTINGS, "allowed": {"max_attempts": 0}}}, "allowed.max_attempts: not above"),
+        ({"settings": {**SETTINGS, "allowed": {"max_attempts": False}}}, "max_attempts: not a number: False"),
+        ({"limits": {"sockets": True}}, "limits.sockets"),
     ],
 )
 def test_a_fault_of_the_platform_s_configuration_is_named(
@@ -72,8 +90,25 @@
     assert fault in str(caught.value)
 
 
+def test_a_file_that_lacks_what_the_one_before_had_is_not_taken(tmp_path: Path) -> None:
+    """Some keys have a default at the first start: without `limits`, 1,024 descriptors were assumed."""
+    old = platform(tmp_path)
+    second = {**SETTINGS["classes"][0], "name": "second", "more": 1}  # type: ignore[index]
+    assert platform(tmp_path, settings={**SETTINGS, "classes": [second, *SETTINGS["classes"]]}).follows(old)  # type: ignore[misc]
+    for fault, changes in (
+        ("limits is missing", {"limits": None}),
+        ("settings.allowed.cancel is missing", {"settings": {**SETTINGS, "allowed": {"max_attempts": 4}}}),
+        ("settings.clients is missing", {"settings": {k: v for k, v in SETTINGS.items() if k != "clients"}}),
+    ):
+        with pytest.raises(ConfigError, match=fault):
+            platform(tmp_path, **changes).follows(old)
+
+
 def test_a_configuration_that_is_not_there_or_no_json_is_named(tmp_path: Path) -> None:
-    (tmp_path / "config.json").write_text("{")
+    for text in ("", "[]", '{"name": "n3", "listen'):
+        (tmp_path / "config.json").write_text(text)
+        with pytest.raises(ConfigError, match="GW_CONFIG: not"):
+            read_platform({"GW_CONFIG": str(tmp_path / "config.json")})
     for env, fault in (
         ({}, "GW_CONFIG is missing"),
         ({"GW_CONFIG": str(tmp_path / "none")}, "GW_CONFIG: "),
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -4,10 +4,12 @@
 
 import gc
 import socket
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
 
+from reedmount import interface as i
 from reedmount.core.checks import COUNTERS, SAID, SAID_IN_FULL, log
 from tests.scenario import digits
 from tests.test_platform import SETUP, STANDS, Platform
@@ -318,3 +320,39 @@
         assert len(gc.get_objects()) - before < 40
     finally:
         gc.enable()
+
+
+def test_new_settings_bind_new_calls_and_an_open_call_keeps_its_own() -> None:
+    """Fewer attempts cut an open call off; the last calls of a dropped class were refused as malformed."""
+    stage = Platform("server")
+    small, *others = stage.switch.settings.classes
+    once = replace(small, name="once", effect=i.Effect.ONCE)
+    stage.play("""
+        caller send INVITE c1 x-cos=small x-timer-ms=2000
+        server expect INVITE c1
+    """)
+    stage.switch.settle(replace(stage.switch.settings, classes=(once, *others), max_attempts=1))
+    stage.play("""
+        other send INVITE c2 x-cos=small x-timer-ms=2000
+        server expect INVITE c2
+        server send 480 INVITE c1
+        server expect ACK c1
+        server expect INVITE c1
+        server send 480 INVITE c2
+        server expect ACK c2
+        other expect 503 c2
+        other send INVITE c3 x-cos=once x-timer-ms=2000
+        server expect INVITE c3
+        server send 500 INVITE c3
+        server expect ACK c3
+        other expect 500 c3
+        server send 200 INVITE c1 | there
+        server expect ACK c1
+        caller expect 200 c1 body=there
+        other send INVITE c4 x-cos=small x-timer-ms=2000
+        other expect 400 c4
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        caller expect BYE c1
+    """)
+    assert stage.switch.quiet and not stage.switch._leaving
