Let pieces cost what they bring, and make room by the least claim

A writer amid its first set-up had 2 s and went before connections that had asked once and stayed. Lines that were at fault: next_frame() peeked at everything on each call; Link.overdue() gave 2 s to any first message; Callers._accept() ranked by set_ups alone.

--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -9,7 +9,7 @@
 
 from reedmount import interface as i
 from reedmount.core.checks import COUNTERS, log
-from reedmount.core.clock import whole_millis
+from reedmount.core.clock import ZERO, whole_millis
 from reedmount.core.ports import CUT, CancelSetup, Listed, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.thin import CAUSES, ID, OUTCOMES, bye, cause_of, plain, report_of, sound
@@ -99,7 +99,7 @@
         self.outbox: deque[Outgoing] = deque()
         self.attempts: dict[str, Attempt] = {}  # queued or sent here
         self.answered: deque[str] = deque(maxlen=16)  # a second copy may follow
-        self.part: bytes | None = None  # what has come of the next message
+        self.partial = False  # a message has begun and not ended, and is looked after
         self.writing: Callable[[], None] | None = None
         self._clock = server.loop.clock
         self.connection = Connection.dial(
@@ -493,14 +493,21 @@
             except SipError as error:
                 self._break(lane, str(error))
                 return
-        lane.part = ring.peek() if len(ring) else None
-        if lane.part is not None:
-            part = lane.part
-            self.loop.after(STOPPED_SHORT, lambda: self._stopped_short(lane, part))
-
-    def _stopped_short(self, lane: Lane, part: bytes) -> None:
-        if lane.part is part and not lane.connection.ended:
+        if len(ring) and not lane.partial:
+            lane.partial = True
+            self.loop.after(STOPPED_SHORT, lambda: self._stopped_short(lane))
+
+    def _stopped_short(self, lane: Lane) -> None:
+        """Look whether more has come of what has begun; one timer, however many pieces that is."""
+        lane.partial = False
+        if lane.connection.ended or not len(lane.connection.incoming):
+            return
+        left = lane.connection.heard_at + STOPPED_SHORT - self.loop.clock.now()
+        if left <= ZERO:
             self._break(lane, "a message stopped short")
+        else:
+            lane.partial = True
+            self.loop.after(left, lambda: self._stopped_short(lane))
 
     def _break(self, lane: Lane, why: str) -> None:
         """What comes there makes no sense any more."""
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 import socket
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
+from enum import IntEnum
 
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import whole_millis
@@ -19,8 +21,12 @@
 from reedmount.sip.message import Message, SipError, parse_head, response
 
 ACK_WAIT = timedelta(milliseconds=500)  # for the ACK of an answer that a CANCEL crossed
-LOOK_EVERY = timedelta(milliseconds=250)  # at connections that say or get nothing
-FIRST_WORD = timedelta(milliseconds=2000)  # for a first whole message, and for the rest of one that has begun
+LOOK_EVERY = timedelta(milliseconds=100)  # at connections that say or get nothing
+FIRST_WORD = timedelta(milliseconds=2700)  # for a first whole message, and for the rest of one that has begun
+LATER_WORD = timedelta(seconds=6)  # for the rest of one, where a call has stood before
+SPEAKS_SOON = timedelta(milliseconds=500)  # a new connection that has said nothing is not called silent yet
+STALLED = timedelta(milliseconds=1000)  # amid a message: a slow writer brings something more often
+MADE_ROOM = 8  # connections that go at once where they are silent or stalled
 FIRST_ANSWER = timedelta(milliseconds=2200)  # with nothing open: what was sent until then is owed no answer
 IDLE = timedelta(seconds=5)  # callers close after 4 s without a call
 ANSWERED_BY = timedelta(milliseconds=3300)  # after SIGTERM or the begin of a drain: all is answered
@@ -32,7 +38,8 @@
 MOST_OPEN = 128  # set-ups on one connection
 UNPROVEN_OPEN = 16  # on one on which no call has stood yet
 STRIKES = 8  # messages that cannot be taken, until the connection is closed
-RELAYED = 16  # releases of unknown calls passed on to all servers, for each look
+RELAYED = 16  # releases of unknown calls passed on to all servers, for each span of this length
+RELAY_SPAN = timedelta(milliseconds=250)
 UNWATCHED = 6  # descriptors of a process that its loop does not hear of
 LEAST_ROOM = 8  # connections, however many the other process of an upgrade holds
 REFUSED, FAILED = 503, 500
@@ -63,6 +70,18 @@
     how: End
 
 
+class Claim(IntEnum):
+    """To a place among the connections, from the least."""
+
+    SILENT = 0  # not a byte since it came
+    STALLED = 1  # stopped amid a message
+    IDLE = 2  # asked something and has its answer
+    SET_UP = 3  # the same, with calls: the way back for releases
+    NEW = 4
+    WRITING = 5
+    IN_USE = 6  # calls are open or stand
+
+
 class Link:
     """The actor of one caller's connection."""
 
@@ -166,12 +185,23 @@
             return age > FIRST_WORD
         if self.open:
             return False
-        if self.part_since is not None and now - self.part_since > FIRST_WORD:
-            return True
+        if self.part_since is not None:
+            return now - self.part_since > (LATER_WORD if self.proven else FIRST_WORD)
         if not self.told:
             return age > FIRST_ANSWER
         return not self.standing and silence > IDLE
 
+    def claim(self, now: datetime) -> tuple[Claim, datetime]:
+        """How much of a claim it has to its place when room runs out; the later heard, the more."""
+        heard_at = self.connection.heard_at
+        if self.open or self.standing:
+            return Claim.IN_USE, heard_at
+        if len(self.connection.incoming) or self.part_since is not None:
+            return Claim.STALLED if now - heard_at > STALLED else Claim.WRITING, heard_at
+        if self.heard:
+            return Claim.SET_UP if self.set_ups else Claim.IDLE, heard_at
+        return Claim.SILENT if now - heard_at > SPEAKS_SOON else Claim.NEW, heard_at
+
     def settled(self, now: datetime, since: datetime) -> bool:
         """Whether a drain that began then may close it: nothing is open and nothing on its way here.
 
@@ -327,7 +357,7 @@
         self.twin = Twin(loop)
         self._held_there = 0  # descriptors of the other process
         self.reserve = 0  # descriptors that a successor needs before it is ready
-        self._relayed = 0  # since the last look
+        self._relayed, self._relayed_since = 0, loop.clock.now()
         self.most = most  # connections
         self._links: dict[Link, None] = {}
         self.homes: dict[str, Link] = {}  # where calls that stand were answered
@@ -479,22 +509,30 @@
 
     def _look(self) -> None:
         """Close the connections that only take room."""
-        self._relayed = 0
         now = self.loop.clock.now()
+        if now - self._relayed_since >= RELAY_SPAN:
+            self._relayed, self._relayed_since = 0, now
         for link in [link for link in self._links if link.overdue(now)]:
             COUNTERS.add("in.closed")
             link.close()
         self.loop.after(LOOK_EVERY, self._look)
 
+    def _make_room(self) -> bool:
+        """Close the connection with the least claim; several where they say nothing, as each look costs."""
+        now = self.loop.clock.now()
+        ranked = heapq.nsmallest(MADE_ROOM, self._links, key=lambda link: link.claim(now))
+        for place, link in enumerate(ranked):
+            claim = link.claim(now)[0]
+            if claim is Claim.IN_USE or (place and claim > Claim.STALLED):
+                return place > 0
+            COUNTERS.add("in.pushed_out")
+            link.close()
+        return bool(ranked)
+
     def _accept(self, sock: socket.socket) -> None:
         COUNTERS.add("in.connections")
-        if len(self._links) >= self.room:
-            # With calls that stand it is the way back to their callers; one that never had any goes first.
-            idle = (link for link in self._links if not link.open and not link.standing)
-            spare = min(idle, key=lambda link: (link.set_ups > 0, link.connection.heard_at), default=None)
-            if spare is None:
-                COUNTERS.add("in.no_room")
-                sock.close()
-                return
-            spare.close()
+        if len(self._links) >= self.room and not self._make_room():
+            COUNTERS.add("in.no_room")
+            sock.close()
+            return
         self._links[Link(self, sock)] = None
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -204,7 +204,8 @@
             return
         self.heard_at = self._loop.clock.now()
         self.incoming.write(data)
-        self._on_data(self)
+        if len(self.incoming) >= self.incoming.wanted:  # else its reader could only look and go
+            self._on_data(self)
 
     def _flush(self) -> None:
         had = bool(self._outgoing)
--- a/reedmount/net/ring.py
+++ b/reedmount/net/ring.py
@@ -13,6 +13,8 @@
         self._store = bytearray()
         self._head = 0
         self._size = 0
+        self.scanned = 0  # up to here its reader has looked for the end of a head in vain
+        self.wanted = 0  # so many bytes its reader needs before it can go on
 
     def __len__(self) -> int:
         """How many bytes are held."""
@@ -43,8 +45,19 @@
         first = min(size, len(self._store) - self._head)
         return bytes(self._store[self._head : self._head + first]) + bytes(self._store[: size - first])
 
+    def find(self, what: bytes, start: int) -> int:
+        """Where something begins, at the start or after it; -1 where it is not there."""
+        tail = self._head + start
+        if tail < len(self._store) < self._head + self._size:
+            at = self.peek().find(what, start)  # it goes round the end of the store
+            return at
+        begin = tail % len(self._store) if self._store else 0
+        at = self._store.find(what, begin, begin + self._size - start)
+        return at if at < 0 else at - begin + start
+
     def drop(self, count: int) -> None:
         """Remove the oldest bytes."""
+        self.scanned = self.wanted = 0
         count = min(count, self._size)
         self._size -= count
         if self._size:
--- a/reedmount/sip/framing.py
+++ b/reedmount/sip/framing.py
@@ -16,18 +16,21 @@
     """Take the next whole message as its head and its body, unread, or None while there is none.
 
     A SipError leaves the stream out of step: its reader closes the connection after telling why. Each call
-    drops what it has taken, so that a ring of two messages always has room for the rest of one.
+    drops what it has taken, so that a ring of two messages always has room for the rest of one. Where there
+    is none it notes on the ring how far it has looked: a message in small pieces is not gone through again.
     """
-    held = ring.peek(LONGEST + 1)
-    if held[:1] in (b"\r", b"\n"):
-        start = len(held) - len(held.lstrip(b"\r\n"))
-        ring.drop(start)
-        held = held[start:]
-    end = held.find(BLANK)
+    if len(ring) < ring.wanted or not len(ring):
+        return None
+    while ring.peek(1) in (b"\r", b"\n"):
+        start = ring.peek(LONGEST)
+        ring.drop(len(start) - len(start.lstrip(b"\r\n")))
+    end = ring.find(BLANK, ring.scanned)
     if end < 0:
-        if len(held) > LONGEST:
+        if len(ring) > LONGEST:
             raise SipError(513, "longer than 16 KiB")
+        ring.scanned = max(0, len(ring) - len(BLANK) + 1)
         return None
+    held = ring.peek(end + len(BLANK))
     found = LENGTH.search(held, 0, end + 2)
     if found is None or len(LENGTHS.findall(held, 0, end + 2)) > 1:
         # No plain length: say what is wrong with it.
@@ -39,10 +42,12 @@
     begun = end + len(BLANK)
     if begun + length > LONGEST:
         raise SipError(513, "longer than 16 KiB")
-    if len(held) < begun + length:
+    ring.scanned, ring.wanted = end, begun + length
+    if len(ring) < begun + length:
         return None
+    body = ring.peek(begun + length)[begun:]
     ring.drop(begun + length)
-    return held[:end], held[begun : begun + length]
+    return held[:end], body
 
 
 def next_message(ring: Ring) -> Message | None:
