--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -388,6 +388,7 @@
         """Another process accepts from now on; what is here is gone through as in a drain."""
         self.listener.stop()
         self.switch.lifecycle.supersede(True)
+        self._empty()  # also where the end had begun before
         self._tell_held()
 
     def take_back(self) -> None:
@@ -531,8 +532,9 @@
 
     def _accept(self, sock: socket.socket) -> None:
         COUNTERS.add("in.connections")
-        if len(self._links) >= self.room and not self._make_room():
-            COUNTERS.add("in.no_room")
-            sock.close()
-            return
+        while len(self._links) >= self.room:  # which may have become less
+            if not self._make_room():
+                COUNTERS.add("in.no_room")
+                sock.close()
+                return
         self._links[Link(self, sock)] = None
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -400,3 +400,36 @@
     assert sorted(finals) == sorted(f"m{turn}" for turn in range(120))
     assert all(len(set(answers)) == 1 for answers in finals.values())
     assert not stage.switch.unanswered
+
+
+def test_a_drain_refuses_new_calls_and_lets_dialogs_go_on() -> None:
+    """New INVITEs were taken while the border controller was being emptied, and never came to an end."""
+    stage = Sip("server")
+    stage.play(call("phone", "server") + RUNG.replace("phone", "desk").replace("c1", "c2"))
+    stage.switch.lifecycle.quiesce()
+    stage.play("""
+        phone send INVITE c3
+        phone expect 503 c3 retry-after=5
+        server send 200 INVITE | there
+        server expect ACK
+        desk expect 200 c2 body=there
+        phone send BYE c1
+        phone expect 200 c1
+        server expect BYE
+        server send 200 BYE
+        phone send OPTIONS o
+        phone expect 200 o
+    """)
+    stage.switch.lifecycle.resume()
+    stage.play("phone send INVITE c4\n phone expect 100 c4\n server expect INVITE")
+
+
+def test_an_open_invite_keeps_its_class_when_that_is_dropped() -> None:
+    stage = Sip("server")
+    stage.play(RUNG)
+    great = [kind for kind in stage.switch.settings.classes if kind.name == "great"]
+    stage.switch.settle(replace(stage.switch.settings, classes=tuple(great)))
+    stage.front.settings = replace(stage.front.settings, default_class="great", waits={"great": WAIT})
+    stage.play("server send 200 INVITE | there\n server expect ACK\n phone expect 200 c1 body=there")
+    stage.play("desk send INVITE c2 x-cos=small\n desk expect 100 c2\n server expect INVITE")
+    assert list(stage.switch.classes) == ["great"]
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -114,10 +114,16 @@
     text = (ROOT / "deploy" / "sip.toml").read_text()
     for port in ("5060", "5353"):
         text = text.replace(f"{HOST}:{port}", f"{HOST}:0")
+    text = text.replace("# [door]", "[door]").replace("# control = ", "control = ").replace(":8060", ":0")
     (tmp_path / "sip.toml").write_text(text)
     zone = (ROOT / "deploy" / "callservers.zone").read_text()
     (tmp_path / "callservers.zone").write_text(zone)
     with started("--operator", str(tmp_path / "sip.toml")) as process:
+        said = line(process)
+        assert said.startswith(f"the door is at {HOST}:")
+        with socket.create_connection((HOST, int(said.rpartition(":")[2])), 5) as caller:
+            caller.sendall(b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert caller.recv(4096).startswith(b"HTTP/1.1 200 ")
         assert "SIP served at" in line(process)
         (tmp_path / "sip.toml").write_text(text.replace("t1_ms", "t9_ms"))
         process.send_signal(signal.SIGHUP)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -89,6 +89,26 @@
     assert stage.switch.quiet and not stage.heir.quiet
 
 
+def test_an_end_that_begins_before_the_new_one_is_ready_changes_nothing(stage: Pair) -> None:
+    """The signal may overtake the word: connections stayed open, and their requests came to the old one."""
+    stage.play("caller send OPTIONS t\n caller expect 200 t")
+    stage.switch.lifecycle.end()
+    stage.ready()
+    stage.play("wait 100\n caller expect CLOSED")
+    assert stage.callers.quiet
+
+
+def test_room_that_shrinks_is_given_up_at_the_next_newcomer(stage: Pair) -> None:
+    stage.callers.most = 8
+    for _ in range(2):
+        crowd = [socket.create_connection(stage.callers.address) for _ in range(8)]
+        stage.wait(timedelta(milliseconds=600))
+        stage.callers.most = 3
+    assert len(stage.callers._links) == 3
+    for sock in crowd:
+        sock.close()
+
+
 def test_a_release_and_a_cancel_that_reach_the_wrong_process_go_to_the_other(stage: Pair) -> None:
     stage.play(STANDS + f"other send {SETUP.replace('c1', 'c2')}\n server expect INVITE c2")
     stage.ready()
