Wait 30 ms beyond the release pause before a call is sent again, not 60

Ruled out: that the rule asks for 50 ms more than the settings say; calls sent again after 115 and 130 ms broke nothing. 30 and not 15, since the CANCEL may be 20 ms longer on its way than the next set-up. Line to blame: RELEASE_MARGIN in config.py.

--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -38,7 +38,7 @@
     "allowed": {"max_attempts": 0.5},
 }
 CLASS_FIGURES: dict[str, float | None] = {"deadline": 0, "target": 0, "worth": None, "late_share": None}
-RELEASE_MARGIN = millis(60)  # limits on sockets are 50 ms wider, and a message has its way to go
+RELEASE_MARGIN = millis(30)  # a message has its way to go, and that to another server may be shorter
 
 
 class ConfigError(ValueError):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -48,7 +48,7 @@
     assert (read.name, read.listen, read.seed, read.known_last) == ("n9", ("127.0.0.1", 77), 0x8C1F, 1)
     assert read.connect_wait == timedelta(milliseconds=250)
     assert read.settings.classes[0].servers == (0, 1) and read.settings.may_cancel
-    assert read.settings.release_wait_us == 360_000, "the limit on sockets is wider"
+    assert read.settings.release_wait_us == 330_000, "and what a message takes on its way"
 
 
 def test_nested_settings_become_the_paths_of_the_wire() -> None:
@@ -62,6 +62,7 @@
     [
         ({"board": None}, "board is missing"),
         ({"board": "nowhere"}, "board: not an address"),
+        ({"control": "here"}, "control: not an address"),
         ({"listen": "127.0.0.1"}, "listen: not an address"),
         ({"seed": "xyz"}, "seed: not hex digits"),
         ({"known": {"rev": 1}}, "known: "),
@@ -141,6 +142,8 @@
         ('name = "agency-call"', 'name = "quote-call"', "class[2].name"),
         ("aim_ms = 1200", "", "class[0].aim_ms is missing"),
         ("[module]", "[modules]", "modules is not known"),
+        ("[module]", "[door]\ncontrol = 3\n[module]", "door.control: str wanted"),
+        ("[module]", "[door]\nlisten = 3\n[module]", "door.control is missing"),
         ("[module]", "[module", "sip.toml"),
         ("# [[dns.update.key]]", '[[dns.update.key]]\nname="k."\nsecret="!"\n', "dns.update.key[0]"),
     ],
