Pass on releases of the other process's calls without counting them as made up

Seen on reading Link._bye() again: in an upgrade a release of a call that stands with the other process took one of the 16 places in a quarter of a second that are there for unknown calls; beyond them it was answered 481 and went nowhere, so at 190 calls a second calls would have stayed up. Checked: the test sets up 20 calls with the old process and releases them at the new one; the 17th was answered 481 before. What neither process knows is still bounded, now by the process that would relay it.

--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -289,11 +289,12 @@
     def _bye(self, message: Message) -> None:
         name = name_of(message)
         self._callers.over(name)
-        known = self._switch.knows(name)
-        status = 200 if known or self._callers.may_relay() else UNKNOWN_CALL
+        cause, known = cause_of(message), self._switch.knows(name)
+        there = not known and self._callers.twin.tell("bye", name=name, cause=cause)
+        relayed = not known and not there and self._callers.may_relay()
+        status = 200 if known or there or relayed else UNKNOWN_CALL
         self._write(response(message, status).encode(), "out.release_heard")
-        cause = cause_of(message)
-        if status == 200 and (known or not self._callers.twin.tell("bye", name=name, cause=cause)):
+        if known or relayed:
             self._switch.caller_released(name, cause)
 
     def cancel(self, name: str) -> bool:
@@ -407,7 +408,9 @@
 
     def _heard_bye(self, word: Word) -> None:
         """A caller ended a call there that is not known there."""
-        self.switch.caller_released(*_release_of(word))
+        name, cause = _release_of(word)
+        if self.switch.knows(name) or self.may_relay():
+            self.switch.caller_released(name, cause)
 
     def _heard_cancel(self, word: Word) -> None:
         """A caller gave up a set-up there that is not known there."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -126,6 +126,24 @@
     assert COUNTERS["twin.out.bye"] == 1, "what neither knows is not passed to and fro"
 
 
+def test_releases_of_the_other_s_calls_are_not_counted_as_made_up(stage: Pair) -> None:
+    """Beyond 16 in a quarter of a second they were answered 481, and the calls stayed up."""
+    for number in range(20):
+        stage.play(f"""
+            caller send INVITE a{number} x-cos=small x-timer-ms=2000
+            server expect INVITE a{number}
+            server send 200 INVITE a{number}
+            server expect ACK a{number}
+            caller expect 200 a{number}
+        """)
+    for number in range(20):
+        stage.play(f"late send BYE a{number}\n late expect 200 a{number}\n server expect BYE a{number}")
+    assert stage.switch.quiet
+    for number in range(40):
+        stage.play(f"late send BYE b{number}\n late expect 200 b{number}")
+    assert len(stage.peers["server"].inbox) == 16
+
+
 def test_a_server_s_release_that_reaches_the_new_one_first_is_told_once(stage: Pair) -> None:
     """Servers repeat a release on the next connection that opens: in an upgrade, the new process's."""
     stage.play(STANDS)
