Test the deep backlog and the door's own descriptors; name the words of the two processes one by one

The backlog of 4096 came with the listener that is handed over and had no test: with 512 the new one fails (600 connections before any is accepted). Nor had the descriptors that are set aside for the door. The words between the two processes were bound by the names of their methods; they are written out now. No change in what the program does.

--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -66,7 +66,7 @@
             made._lifecycle.also(Need.NEWS)  # until now another process heard of it
         pool.start(config.known_last, config.known)
         given, predecessor = found or (None, None)
-        callers = made._callers = Callers(loop, made._switch, config.listen, _room(config), given)
+        callers = made._callers = Callers(loop, made._switch, config.listen, room_for_callers(config), given)
         if predecessor is not None:
             made._succeed(callers, predecessor)
         made._open_door(config.control)
@@ -81,7 +81,7 @@
             old, config = config, read().follows(config)
             made._settle(config.settings)
             servers.connect_wait = config.connect_wait
-            callers.most = _room(config)
+            callers.most = room_for_callers(config)
             pool.take(config.known_last, config.known)
             if config.board != old.board:
                 board.move(config.board)
@@ -204,7 +204,7 @@
             self._loop.after(LOOK_AGAIN, self._end_when_quiet)
 
 
-def _room(config: Platform) -> int:
+def room_for_callers(config: Platform) -> int:
     """How many connections callers may have."""
     lanes = min(LANE_SOCKETS, config.sockets // 4)
     return config.sockets - OWN_SOCKETS - lanes - (DOOR_SOCKETS if config.control is not None else 0)
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -370,9 +370,11 @@
             self.listener.start()
         switch.lifecycle.met(Need.LISTENING)
         switch.on_orphan(self._orphan)
-        for do in (self._heard_bye, self._heard_cancel, self._heard_server_bye, self._heard_release,
-                   self._heard_held):  # fmt: skip
-            self.twin.on(do.__name__.removeprefix("_heard_"), do)
+        self.twin.on("bye", self._heard_bye)
+        self.twin.on("cancel", self._heard_cancel)
+        self.twin.on("server_bye", self._heard_server_bye)
+        self.twin.on("release", self._heard_release)
+        self.twin.on("held", self._heard_held)
         loop.after(LOOK_EVERY, self._look)
 
     @property
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -6,13 +6,16 @@
 import socket
 from collections.abc import Iterator
 from datetime import timedelta
+from pathlib import Path
 
 import pytest
 
+from reedmount.__main__ import LANE_SOCKETS, room_for_callers
 from reedmount.core.lifecycle import Lifecycle, Need, Phase
-from reedmount.fronts.admin import VISITORS, Door
+from reedmount.fronts.admin import DOOR_SOCKETS, VISITORS, Door
 from reedmount.net.loop import READ
 from tests.scenario import HOST
+from tests.test_config import platform
 from tests.test_platform import SETUP, STANDS, Platform
 
 HEALTH = b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -196,6 +199,16 @@
     assert not link.settled(now, now - timedelta(seconds=3))
 
 
+def test_the_door_s_descriptors_are_set_aside(tmp_path: Path) -> None:
+    """With the limit cut by half, callers and connections to servers took all there were."""
+    for sockets in (64, 128, 192, 1024):
+        limits = {"sockets": sockets}
+        without = room_for_callers(platform(tmp_path, limits=limits))
+        withal = room_for_callers(platform(tmp_path, limits=limits, control=f"{HOST}:9800"))
+        assert without - withal == DOOR_SOCKETS and withal >= sockets // 4
+        assert without + min(LANE_SOCKETS, sockets // 4) < sockets
+
+
 def test_the_lifecycle_starts_when_all_is_there_and_its_end_cannot_be_undone(stage: Building) -> None:
     life, phases = Lifecycle(stage.loop.clock), []
     life.on_change(lambda: phases.append(life.phase))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 
 from reedmount.core.checks import Counters, invariant
 from reedmount.core.clock import ZERO, Clock, micros, span, whole_millis
-from reedmount.net.connection import Connection, End, address_of
+from reedmount.net.connection import Connection, End, address_of, bind
 from reedmount.net.loop import Actor, Loop
 from reedmount.net.ring import Ring
 from tests.scenario import HOST, VirtualTime
@@ -146,3 +146,13 @@
     counters.add("b")
     counters.add("a", 2)
     assert counters.text() == "a=2 b=1" and counters["none"] == 0
+
+
+def test_a_crowd_waits_at_the_listener_while_a_turn_is_long() -> None:
+    """With room for 512 the others were left to try again a second later."""
+    listener = bind((HOST, 0))
+    crowd = []
+    for _ in range(600):
+        crowd.append(socket.create_connection(listener.getsockname(), 0.9))
+    for sock in (listener, *crowd):
+        sock.close()
