Merge what sources say of call servers by one rule, and open priority bands

Need: one zone file was the only source, SRV priority picked a first choice and nothing more. A drain told by one source has to win over any other that still names the server, and an outage must not be one.

The route takes the lowest band with room; `standby` is a state of the list.

--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -140,6 +140,7 @@
     number: int
     started_us: int
     serving: bool = True
+    band: int = 0  # calls go to the lowest that has room
     lines: float = 0.0  # as told; 0 before that
     told_empty: bool = False
     empty_until_us: int = 0
@@ -235,21 +236,18 @@
             return
         self._version = news.version
         self._watch_throughput(now)
-        if news.kind is not i.ListKind.CHANGES:
-            named = {entry.server for entry in news.entries}
-            for server in self._servers.values():
-                server.serving = server.serving and server.id in named
         for entry in news.entries:
             self._on_entry(now, entry)
         gone = {entry.server for entry in news.entries if entry.state is i.ServerState.REMOVED}
         if news.kind is not i.ListKind.CHANGES:
-            gone |= self._servers.keys() - named
+            gone |= self._servers.keys() - {entry.server for entry in news.entries}
         for server_id in gone & self._servers.keys():
             # Replacements come under new ids all day long: what is gone is not looked at for ever.
             del self._servers[server_id]
         if self._last_took is not None and self._last_took.id in gone:
             self._last_took = None
-        for number in [number for number in self._throughput if number not in self._places()][:-PLACES_MOST]:
+        places = self._places()
+        for number in [number for number in self._throughput if number not in places][:-PLACES_MOST]:
             del self._throughput[number]
 
     def _places(self) -> set[int]:
@@ -278,7 +276,7 @@
             self._actions.append(i.Log(f"{server.id} started: paced while cold"))
         if server.serving != (entry.state is i.ServerState.SERVING):
             self._actions.append(i.Log(f"{server.id} is {entry.state.value}"))
-        server.serving = entry.state is i.ServerState.SERVING
+        server.serving, server.band = entry.state is i.ServerState.SERVING, entry.band
 
     # --- calls ---
 
@@ -638,7 +636,9 @@
         return None
 
     def _route(self, call: Call, able: list[Server]) -> Server | None:
-        """First choice, else the server that last took a call, else a random draw of the open ones."""
+        """In the lowest band: first choice, else what last took a call, else a random draw of the open."""
+        lowest = min((server.band for server in able), default=0)
+        able = [server for server in able if server.band == lowest]
         for server in able:
             if server.number == call.first_choice:
                 return server
--- a/reedmount/core/ports.py
+++ b/reedmount/core/ports.py
@@ -79,6 +79,8 @@
     removed: bool
     started: datetime | None
     transport: str = "tcp"
+    band: int = 0
+    standby: bool = False  # it could serve, but its band is closed
 
 
 class Servers(Protocol):
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -51,6 +51,8 @@
         self._next = 1
         self._orphans: list[Callable[[str, int], None]] = []
         self._over: dict[str, None] = {}  # names that are over: a server repeats its releases
+        self._unsent: dict[int, datetime] = {}  # calls of which no attempt went out yet, oldest first
+        self.on_attempt: Callable[[str, i.Outcome | None], None] | None = None  # None: it was sent
 
     def attach(self, servers: Servers) -> None:
         """Name the server side."""
@@ -97,6 +99,13 @@
         """How many calls are still owed their final answer."""
         return sum(not call.gone for call in self._by_number.values())
 
+    @property
+    def waiting(self) -> timedelta:
+        """How long the oldest call has waited of which no attempt went out yet."""
+        if not self._unsent:
+            return ZERO
+        return self._clock.now() - next(iter(self._unsent.values()))
+
     # --- from the fronts ---
 
     def offer(self, offer: Offer, caller: Caller) -> bool:
@@ -108,6 +117,7 @@
         call = Call(self._next, offer, caller, self._clock.now())
         self._next += 1
         self._by_number[call.number] = self._by_name[offer.name] = call
+        self._unsent[call.number] = call.taken_at
         self._inbox.post(
             i.NewCall(
                 call=call.number,
@@ -161,6 +171,7 @@
             self._drop(call)
             return False
         call.gone = call.standing = True
+        self._tell_attempt(call.server, i.Outcome.COMPLETED)
         self._let_class_go(call.offer.call_class)
         COUNTERS.add("answered.stands")
         call.caller.answered(name, description)
@@ -181,6 +192,7 @@
             return
         COUNTERS.add(f"attempts.{outcome.value.replace(' ', '_')}")
         call.out = None
+        self._tell_attempt(call.server, outcome)
         self._post_end(call, outcome, cause, report)
         if call.gone:
             self._drop(call)
@@ -221,10 +233,9 @@
             i.ServerEntry(
                 server=entry.server,
                 number=entry.number,
-                state=i.ServerState.SERVING
-                if entry.serving
-                else i.ServerState.REMOVED if entry.removed else i.ServerState.DRAINING,
+                state=_state(entry),
                 started_us=0 if entry.started is None else micros(entry.started),
+                band=entry.band,
             )
             for entry in entries
         )
@@ -284,6 +295,8 @@
             return
         call.out, call.server, call.sent_at = attempt, action.server, self._clock.now()
         COUNTERS.add("attempts.sent")
+        self._unsent.pop(call.number, None)
+        self._tell_attempt(action.server, None)
         offer = call.offer
         self._side.send(
             Setup(offer.name, attempt, action.server, offer.call_class, offer.number,
@@ -306,6 +319,10 @@
 
     # --- calls ---
 
+    def _tell_attempt(self, server: str, outcome: i.Outcome | None) -> None:
+        if self.on_attempt is not None:
+            self.on_attempt(server, outcome)
+
     def _since(self, call: Call) -> timedelta:
         now = self._clock.now()
         return now - (call.sent_at or now)
@@ -352,6 +369,15 @@
     def _drop(self, call: Call) -> None:
         self._remember(call.offer.name)
         self._by_number.pop(call.number, None)
+        self._unsent.pop(call.number, None)
         self._let_class_go(call.offer.call_class)
         if self._by_name.get(call.offer.name) is call:
             del self._by_name[call.offer.name]
+
+
+def _state(entry: Listed) -> i.ServerState:
+    if entry.removed:
+        return i.ServerState.REMOVED
+    if entry.standby:
+        return i.ServerState.STANDBY
+    return i.ServerState.SERVING if entry.serving else i.ServerState.DRAINING
--- /dev/null
+++ b/reedmount/dns/cache.py
@@ -0,0 +1,82 @@
+"""Answers kept for their lifetime, bounded in number and in memory. Pure."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from reedmount.core.checks import COUNTERS
+from reedmount.dns.answers import Answer
+from reedmount.dns.reader import Question
+
+ENTRY_BYTES, RECORD_BYTES = 700, 300  # estimates; docs/MEASURED-SOURCES.md has them beside the real size
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Lifetimes and room. The floor spares name servers whose TTL is 0, the ceiling forgets absurd ones."""
+
+    floor: timedelta = timedelta(seconds=1)
+    ceiling: timedelta = timedelta(seconds=300)
+    entries: int = 8192
+    memory: int = 8 << 20  # bytes, by the estimates above
+
+    def lifetime(self, ttl: int) -> timedelta:
+        """How long an answer with this TTL (s) holds."""
+        return min(max(timedelta(seconds=min(ttl, 1 << 31)), self.floor), self.ceiling)
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """An answer and when its lifetime ends."""
+
+    answer: Answer
+    until: datetime
+
+    @property
+    def cost(self) -> int:
+        """Its bytes, estimated."""
+        return ENTRY_BYTES + RECORD_BYTES * self.answer.records
+
+
+class Cache:
+    """By question; what was not asked for longest goes first when room runs out."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self._kept: OrderedDict[Question, Kept] = OrderedDict()
+        self.memory = 0
+
+    def __len__(self) -> int:
+        """How many answers are kept."""
+        return len(self._kept)
+
+    def get(self, now: datetime, question: Question) -> Kept | None:
+        """An answer whose lifetime still runs."""
+        kept = self._kept.get(question)
+        if kept is None:
+            return None
+        if now >= kept.until:
+            self._drop(question)
+            return None
+        self._kept.move_to_end(question)
+        return kept
+
+    def put(self, now: datetime, question: Question, answer: Answer) -> Kept:
+        """Keep an answer; one that is larger than all the room there is goes by without being kept."""
+        kept = Kept(answer, now + self.bounds.lifetime(answer.ttl))
+        if question in self._kept:
+            self._drop(question)
+        if kept.cost > self.bounds.memory or not self.bounds.entries:
+            COUNTERS.add("dns.cache.too_large")
+            return kept
+        while len(self._kept) >= self.bounds.entries or self.memory + kept.cost > self.bounds.memory:
+            self._drop(next(iter(self._kept)))
+            COUNTERS.add("dns.cache.pushed_out")
+        self._kept[question] = kept
+        self.memory += kept.cost
+        return kept
+
+    def _drop(self, question: Question) -> None:
+        self.memory -= self._kept.pop(question).cost
--- /dev/null
+++ b/reedmount/dns/reader.py
@@ -0,0 +1,145 @@
+"""DNS messages from the wire, record by record: reading a long one never holds the loop for long.
+
+Names and records are read by dnspython; this module walks the sections (RFC 1035, section 4.1) and lets go
+after each slice. Everything is bounded: the message's size by its transport, the records by ``RECORDS_MOST``.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Generator
+from dataclasses import dataclass, field
+
+import dns.exception
+import dns.flags
+import dns.name
+import dns.rcode
+import dns.rdata
+import dns.rdataclass
+import dns.rdatatype
+import dns.wire
+
+RECORDS_MOST = 4096
+SLICE = 48  # records between two looks at the rest of the program
+HEADER = struct.Struct("!HHHHHH")
+WANTED = frozenset(
+    (
+        dns.rdatatype.A,
+        dns.rdatatype.AAAA,
+        dns.rdatatype.SRV,
+        dns.rdatatype.CNAME,
+        dns.rdatatype.SOA,
+    )
+)
+TOP_BIT = 1 << 31
+
+
+class ReadError(ValueError):
+    """Bytes that are no DNS message, or one beyond the bounds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """A name, in lower case with its last dot, and the type asked for."""
+
+    name: str
+    rdtype: dns.rdatatype.RdataType
+
+    def __str__(self) -> str:
+        """As staff read it."""
+        return f"{self.name} {dns.rdatatype.to_text(self.rdtype)}"
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One record; ``data`` is None for types that nobody here asks for."""
+
+    name: str
+    rdtype: int
+    ttl: int
+    data: dns.rdata.Rdata | None
+
+
+@dataclass(slots=True)
+class Reply:
+    """A response as it came."""
+
+    id: int
+    flags: int
+    rcode: int
+    question: Question | None
+    answer: list[Record] = field(default_factory=list)
+    authority: list[Record] = field(default_factory=list)
+    additional: list[Record] = field(default_factory=list)
+
+    @property
+    def cut(self) -> bool:
+        """Whether it was truncated: nothing in it counts then (RFC 2181, section 9)."""
+        return bool(self.flags & dns.flags.TC)
+
+
+def name_of(name: dns.name.Name) -> str:
+    """A name as it is compared here."""
+    return name.to_text().lower()
+
+
+def head(wire: bytes) -> Reply:
+    """The header and the question alone: enough to tell whether it is an answer to what was asked."""
+    try:
+        reply, _, _ = _head(wire)
+    except (dns.exception.DNSException, struct.error, ValueError, IndexError) as error:
+        raise ReadError(f"{type(error).__name__} {error}") from None
+    return reply
+
+
+def read(wire: bytes) -> Generator[None, None, Reply]:
+    """The whole message; yields after each slice of records. Raises ReadError."""
+    try:
+        reply, parser, counts = _head(wire)
+        if sum(counts) > RECORDS_MOST:
+            raise ReadError(f"{sum(counts)} records")
+        done = 0
+        sections = (reply.answer, reply.authority, reply.additional)
+        for section, count in zip(sections, counts, strict=True):
+            for _ in range(count):
+                record = _record(parser)
+                if record.rdtype == dns.rdatatype.OPT:
+                    reply.rcode |= record.ttl >> 24 << 4  # RFC 6891, section 6.1.3
+                else:
+                    section.append(record)
+                done += 1
+                if done % SLICE == 0:
+                    yield
+        return reply
+    except (dns.exception.DNSException, struct.error, ValueError, IndexError) as error:
+        raise ReadError(f"{type(error).__name__} {error}") from None
+
+
+def _head(wire: bytes) -> tuple[Reply, dns.wire.Parser, tuple[int, int, int]]:
+    if len(wire) < HEADER.size:
+        raise ReadError("shorter than a header")
+    number, flags, asked, *counts = HEADER.unpack_from(wire)
+    parser = dns.wire.Parser(wire, HEADER.size)
+    question = None
+    if asked > 1:
+        raise ReadError(f"{asked} questions")
+    if asked:
+        name = parser.get_name()
+        rdtype, rdclass = parser.get_struct("!HH")
+        if rdclass == dns.rdataclass.IN:
+            question = Question(name_of(name), dns.rdatatype.RdataType.make(rdtype))
+    return Reply(number, flags, flags & 15, question), parser, (counts[0], counts[1], counts[2])
+
+
+def _record(parser: dns.wire.Parser) -> Record:
+    name = parser.get_name()
+    rdtype, rdclass, ttl, length = parser.get_struct("!HHIH")
+    data = None
+    with parser.restrict_to(length):
+        if rdtype in WANTED and rdclass == dns.rdataclass.IN:
+            data = dns.rdata.from_wire_parser(rdclass, rdtype, parser)
+        else:
+            parser.get_remaining()
+    if rdtype != dns.rdatatype.OPT and ttl & TOP_BIT:
+        ttl = 0  # RFC 2181, section 8
+    return Record(name_of(name), rdtype, ttl, data)
--- a/reedmount/interface.py
+++ b/reedmount/interface.py
@@ -14,6 +14,7 @@
     """What the pool list says of a server."""
 
     SERVING = "serving"
+    STANDBY = "standby"  # in a band that is closed
     DRAINING = "draining"
     REMOVED = "removed"
 
@@ -116,6 +117,7 @@
     number: int
     state: ServerState
     started_us: int
+    band: int = 0  # RFC 2782's priority: the lowest with room is used
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/reedmount/pool/pool.py
@@ -0,0 +1,308 @@
+"""The one pool: what all sources say, merged by the rule, as differences for the core."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import Enum
+
+from reedmount.core.checks import COUNTERS, invariant
+from reedmount.pool.rule import SERVES, Rule, decide
+from reedmount.pool.source import Source
+from reedmount.pool.words import Claim, Place, Word, text_of
+
+SERVERS_MOST = 4096
+MARKS_MOST = 4096  # of servers that are gone
+SLICE = 64  # servers looked at between two looks at the rest of the program
+
+
+class Past(Enum):
+    """What becomes of servers whose sources are all silent beyond their bound."""
+
+    DRAIN = "drain"
+    LAST_RESORT = "last-resort"
+
+
+@dataclass(slots=True)
+class Entry:
+    """One server as it stands in the pool."""
+
+    place: Place
+    server: str  # its name in the core, the same whichever source names it
+    number: int
+    name: str
+    transport: str
+    priority: int
+    weight: int
+    rule: Rule
+    since: datetime  # that this rule holds
+    started: datetime | None  # None: long ago
+
+    @property
+    def serves(self) -> bool:
+        """Whether calls may go there."""
+        return self.rule in SERVES
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """News of one server."""
+
+    entry: Entry
+    removed: bool = False
+
+
+class Pool:
+    """All sources and what follows from them. Instants come in with each event; nothing here waits."""
+
+    def __init__(
+        self, now: datetime, sources: Sequence[str], past: Past = Past.DRAIN,
+        start_for: timedelta = timedelta(seconds=10), gone_for: timedelta = timedelta(minutes=10),
+        unranked: tuple[int, int] = (0, 1),
+    ) -> None:  # fmt: skip
+        self.sources = {name: Source(name) for name in sources}
+        self.entries: dict[Place, Entry] = {}
+        self.past, self.gone_for, self.unranked = past, gone_for, unranked
+        self._marks: dict[Place, datetime] = {}  # gone, and named by nobody: since when; oldest first
+        self._started_until = now + start_for
+        self._numbers: dict[int, Place] = {}
+        self._vouched = 0  # entries that serve by more than a last resort
+
+    # --- events ---
+
+    def whole(
+        self,
+        now: datetime,
+        source: str,
+        claims: Sequence[Claim],
+        part: str = "",
+        fresh_for: timedelta | None = None,
+        keep_for: timedelta | None = None,
+    ) -> Iterator[list[Change]]:
+        """A complete, good answer: what it leaves out is gone. Yields each slice, leaving ones first."""
+        said = self.sources[source]
+        first = self._is_first(now, said)
+        said.heard(now, part, fresh_for, keep_for)
+        gone = said.left_out(part, [claim.place for claim in claims])
+        for begin in range(0, len(gone), SLICE):
+            changes: list[Change] = []
+            for place in gone[begin : begin + SLICE]:
+                said.leave_out(now, part, place)
+                changes += self._decide(now, place, None)
+            yield changes
+        self._sweep(now)
+        named = _leaving_first(claims)
+        for begin in range(0, len(named), SLICE):
+            yield self._take(now, said, part, named[begin : begin + SLICE], first)
+        said.started = True
+        yield self._past(now)
+
+    def news(self, now: datetime, source: str, claims: Sequence[Claim], part: str = "") -> list[Change]:
+        """Word of single servers; of the others nothing is said."""
+        said = self.sources[source]
+        first = self._is_first(now, said)
+        said.heard(now, part, None, None)
+        said.started = True
+        return self._take(now, said, part, _leaving_first(claims), first) + self._past(now)
+
+    def failed(self, source: str, why: str, part: str = "") -> None:
+        """An answer that did not come or cannot count: nothing changes."""
+        self.sources[source].failed(part, why)
+
+    def lapse(self, now: datetime) -> Iterator[list[Change]]:
+        """Time has passed: namings may have become stale or expired. Yields after each slice."""
+        places = list(self.entries)
+        for begin in range(0, len(places), SLICE):
+            changes: list[Change] = []
+            for place in places[begin : begin + SLICE]:
+                changes += self._decide(now, place, None)
+            yield changes
+        yield self._past(now)
+
+    def lapses_after(self, now: datetime) -> datetime | None:
+        """The next instant at which a naming loses in worth."""
+        due = [
+            instant
+            for source in self.sources.values()
+            for part in source.parts.values()
+            for instant in part.lapses
+            if instant > now
+        ]
+        return min(due, default=None)
+
+    def drop_part(self, now: datetime, source: str, part: str) -> list[Change]:
+        """The operator has taken a part of a source away: what it said counts no more."""
+        said = self.sources[source]
+        touched = [place for place, by_part in said.sayings.items() if part in by_part]
+        for place in touched:
+            del said.sayings[place][part]
+        said.parts.pop(part, None)
+        return [change for place in touched for change in self._decide(now, place, None)] + self._past(now)
+
+    # --- what holds ---
+
+    def words(self, now: datetime, place: Place) -> dict[str, Word]:
+        """What each source says of a server."""
+        return {name: source.word(now, place) for name, source in self.sources.items()}
+
+    def _is_first(self, now: datetime, source: Source) -> bool:
+        """Whether what it names now may have served long before us: its first word, soon after our start."""
+        return not source.started and now < self._started_until
+
+    def _has_room(self, claim: Claim) -> bool:
+        if claim.place in self.entries or len(self.entries) < SERVERS_MOST:
+            return True
+        COUNTERS.add("pool.no_room")
+        return False
+
+    def _take(
+        self, now: datetime, said: Source, part: str, claims: Iterable[Claim], first: bool
+    ) -> list[Change]:
+        changes: list[Change] = []
+        for claim in claims:
+            if not self._has_room(claim):
+                continue
+            if claim.place in self._marks:
+                self._reconsider(now, claim)
+            said.say(now, part, claim)
+            changes += self._decide(now, claim.place, claim, first)
+        self._sweep(now)
+        return changes
+
+    def _reconsider(self, now: datetime, claim: Claim) -> None:
+        """A server that all had given up is named: a process started since then is another one."""
+        since = self._marks[claim.place]
+        if claim.started is not None and claim.started > since or now - since > self.gone_for:
+            self._unmark(claim.place)
+
+    def _decide(
+        self, now: datetime, place: Place, claim: Claim | None, first: bool = False
+    ) -> list[Change]:
+        """Apply the rule to one server, and say what has changed.
+
+        A server that comes in or comes back counts as started now, unless the claim that brings it says
+        when it was, or it is among the first that its source names at our own start.
+        """
+        rule = decide(source.word(now, place) for source in self.sources.values())
+        entry = self.entries.get(place)
+        if rule is Rule.UNNAMED or rule is Rule.GONE and not self._named(now, place):
+            return self._remove(place, rule, now)
+        naming = self._naming(place)
+        if rule is Rule.EXPIRED and self.past is Past.LAST_RESORT:
+            rule = self._past_rule()
+        if entry is None:
+            if naming is None:
+                return []
+            started = naming.started if first else naming.started or now
+            return [Change(self._enter(now, naming, rule, started))]
+        before = (entry.serves, entry.started, entry.transport, entry.priority, entry.weight)
+        if naming is not None:
+            entry.name, entry.transport = naming.name, naming.transport
+            entry.priority, entry.weight = self._rank(place)
+        self._set(entry, rule, now)
+        started = claim.started if claim is not None and claim.word is Word.SERVING else None
+        if entry.serves and not before[0] and started is None:
+            started = now
+        if started is not None and (entry.started is None or started > entry.started):
+            entry.started = started
+        after = (entry.serves, entry.started, entry.transport, entry.priority, entry.weight)
+        return [Change(entry)] if after != before else []
+
+    def _named(self, now: datetime, place: Place) -> bool:
+        """Whether any source still has it, also one that says it drains."""
+        return any(
+            source.word(now, place) not in (Word.GONE, Word.UNNAMED) for source in self.sources.values()
+        )
+
+    def _naming(self, place: Place) -> Claim | None:
+        """Which claim says how it is reached: that of the first source, in their order, that has it."""
+        for source in self.sources.values():
+            saying = source.naming(place)
+            if saying is not None:
+                return saying.claim
+        return None
+
+    def _rank(self, place: Place) -> tuple[int, int]:
+        """Its priority and weight, from the first source that ranks servers at all."""
+        for source in self.sources.values():
+            saying = source.naming(place)
+            if saying is not None and saying.claim.priority is not None:
+                return saying.claim.priority, saying.claim.weight or 0
+        return self.unranked
+
+    def _enter(self, now: datetime, claim: Claim, rule: Rule, came: datetime | None) -> Entry:
+        place = claim.place
+        entry = self.entries[place] = Entry(
+            place, text_of(place), self._number(place), claim.name, claim.transport,
+            *self._rank(place), rule, now, came,
+        )  # fmt: skip
+        self._vouched += rule in (Rule.SERVING, Rule.KEPT)
+        return entry
+
+    def _remove(self, place: Place, rule: Rule, now: datetime) -> list[Change]:
+        """Nobody names it. Marks of its end are kept for a while: an older answer may still be on its way."""
+        if rule is Rule.GONE:
+            self._marks.setdefault(place, now)
+        else:
+            self._unmark(place)
+        entry = self.entries.pop(place, None)
+        if entry is None:
+            return []
+        self._set(entry, rule, now)
+        del self._numbers[entry.number]
+        return [Change(entry, removed=True)]
+
+    def _unmark(self, place: Place) -> None:
+        self._marks.pop(place, None)
+        for source in self.sources.values():
+            source.forget(place)
+
+    def _sweep(self, now: datetime) -> None:
+        """Marks have a bound in time and in number; those of a server that is named again are its entry's."""
+        while self._marks:
+            place, since = next(iter(self._marks.items()))
+            if place in self.entries:
+                del self._marks[place]
+            elif len(self._marks) > MARKS_MOST or now - since > self.gone_for:
+                self._unmark(place)
+            else:
+                return
+
+    def _set(self, entry: Entry, rule: Rule, now: datetime) -> None:
+        if entry.rule is not rule:
+            vouched = (Rule.SERVING, Rule.KEPT)
+            self._vouched += (rule in vouched) - (entry.rule in vouched)
+            invariant(self._vouched >= 0, "vouched_for")
+            entry.rule, entry.since = rule, now
+
+    # --- past the bound ---
+
+    def _past_rule(self) -> Rule:
+        return Rule.EXPIRED if self._vouched else Rule.LAST_RESORT
+
+    def _past(self, now: datetime) -> list[Change]:
+        """A last resort serves while nobody else does, and no longer."""
+        if self.past is not Past.LAST_RESORT:
+            return []
+        wanted = self._past_rule()
+        changes = []
+        for entry in self.entries.values():
+            if entry.rule in (Rule.EXPIRED, Rule.LAST_RESORT) and entry.rule is not wanted:
+                self._set(entry, wanted, now)
+                changes.append(Change(entry))
+        return changes
+
+    def _number(self, place: Place) -> int:
+        """Its number in the pool: the same at each start, unless two servers share one by chance."""
+        digest = hashlib.sha256(text_of(place).encode()).digest()
+        number = int.from_bytes(digest[:4], "big") >> 1
+        while number in self._numbers:
+            number = (number + 1) % 2**31
+        self._numbers[number] = place
+        return number
+
+
+def _leaving_first(claims: Iterable[Claim]) -> list[Claim]:
+    return sorted(claims, key=lambda claim: claim.word is Word.SERVING)
--- /dev/null
+++ b/reedmount/pool/rule.py
@@ -0,0 +1,41 @@
+"""The rule where sources disagree, as the table in docs/design/sources.md has it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+from reedmount.pool.words import Word
+
+
+class Rule(Enum):
+    """Why a server is where it is; the text is for the door."""
+
+    GONE = "a source says that it is gone, or left it out of a good answer"
+    DRAINING = "a source says that it drains"
+    SERVING = "a source names it"
+    KEPT = "named last by a source that is silent, within its bound"
+    EXPIRED = "all that name it are silent beyond their bound"
+    LAST_RESORT = "all that name it are silent beyond their bound, and there is no other server"
+    UNNAMED = "no source names it"
+
+
+SERVES = frozenset((Rule.SERVING, Rule.KEPT, Rule.LAST_RESORT))
+
+# The first line that fits decides: the safer view stands above the others.
+TABLE = (
+    (Word.GONE, Rule.GONE),
+    (Word.DRAINING, Rule.DRAINING),
+    (Word.SERVING, Rule.SERVING),
+    (Word.STALE, Rule.KEPT),
+    (Word.EXPIRED, Rule.EXPIRED),
+)
+
+
+def decide(words: Iterable[Word]) -> Rule:
+    """What holds of a server of which its sources say this, in whatever order."""
+    said = set(words)
+    for word, rule in TABLE:
+        if word in said:
+            return rule
+    return Rule.UNNAMED
