--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -1,34 +1,20 @@
-"""The only reader of GW_* and of operator files: checks, defaults, and errors that name the key."""
+"""The only reader of GW_* and of the platform's file: checks, defaults, and errors that name the key."""
 
 from __future__ import annotations
 
-import base64
-import ipaddress
 import json
 import math
-import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from pathlib import Path
-from typing import Any, TypeVar
-
-import dns.exception
-import dns.name
-import dns.tsig
+from typing import Any
 
 from reedmount import interface as i
 from reedmount.core.clock import millis, span, span_micros
-from reedmount.dns.update import Policy
-from reedmount.dns.zone import TRANSPORTS
 from reedmount.fronts.board import BoardError, Notice, read_notices
-from reedmount.fronts.sip import SipSettings
 from reedmount.net.connection import Address, address_of
 from reedmount.simhost import Options, WireError, read_settings
-from reedmount.sip.transaction import Timers
-
-T = TypeVar("T")
-N = TypeVar("N", int, float)
 
 # What must be a number, and what it must be above; the rest may be 0.
 FIGURES: dict[str, dict[str, float | None]] = {
@@ -208,195 +194,3 @@
         return span(int(text)) if text else millis(500)
     except ValueError:
         raise ConfigError(f"settings.allowed.connect_timeout: not a whole number: {text!r}") from None
-
-
-# --- the operator's file ---
-
-
-@dataclass(frozen=True, slots=True)
-class Updates:
-    """Where dynamic updates are taken, and from whom."""
-
-    listen: Address
-    policy: Policy
-
-
-@dataclass(frozen=True, slots=True)
-class Operator:
-    """All that an operator's file says."""
-
-    sip: SipSettings
-    zone: Path
-    origin: str | None
-    transports: tuple[str, ...]
-    write_back: bool
-    updates: Updates | None
-    control: Address | None
-    settings: i.Settings
-
-
-class Table:
-    """One table of the file; what is asked for is checked, and what was never asked for is a fault."""
-
-    def __init__(self, values: Any, path: str) -> None:
-        if not isinstance(values, dict):
-            raise ConfigError(f"{path} is not a table")
-        self._values, self.path, self._asked = values, path, set[str]()
-
-    def get(self, key: str, kind: type[T], default: T | None = None) -> T:
-        """A value of a kind; without a default it must be there."""
-        self._asked.add(key)
-        value = self._values.get(key, default)
-        if value is None:
-            raise ConfigError(f"{self.path}.{key} is missing")
-        if kind is float and isinstance(value, int) and not isinstance(value, bool):
-            value = float(value)
-        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-            raise ConfigError(f"{self.path}.{key}: {kind.__name__} wanted, not {value!r}")
-        return value
-
-    def amount(self, key: str, kind: type[N], default: N | None, least: N, most: N) -> N:
-        """A number within bounds."""
-        value = self.get(key, kind, default)
-        if not least <= value <= most:
-            raise ConfigError(f"{self.path}.{key}: {value} is not within {least} and {most}")
-        return value
-
-    def span(self, key: str, default: int | None, least: int = 1, most: int = 3_600_000) -> timedelta:
-        """A span given in whole milliseconds."""
-        return millis(self.amount(key, int, default, least, most))
-
-    def texts(self, key: str, default: list[str]) -> list[str]:
-        """A list of strings."""
-        values = self.get(key, list, default)
-        if not all(isinstance(value, str) for value in values):
-            raise ConfigError(f"{self.path}.{key}: strings wanted, not {values!r}")
-        return values
-
-    def table(self, key: str) -> Table:
-        """A table within this one; one that is not there is empty."""
-        self._asked.add(key)
-        return Table(self._values.get(key, {}), f"{self.path}.{key}".lstrip("."))
-
-    def tables(self, key: str) -> list[Table]:
-        """A list of tables."""
-        values = self.get(key, list, [])
-        return [Table(value, f"{self.path}.{key}[{n}]".lstrip(".")) for n, value in enumerate(values)]
-
-    def has(self, key: str) -> bool:
-        """Whether it is there."""
-        return key in self._values
-
-    def done(self) -> None:
-        """A key that nobody asked for is a misspelt one."""
-        for key in self._values:
-            if key not in self._asked:
-                raise ConfigError(f"{self.path}.{key}".lstrip(".") + " is not known")
-
-
-def read_operator(path: Path) -> Operator:
-    """Read and check an operator's file."""
-    try:
-        with path.open("rb") as file:
-            top = Table(tomllib.load(file), "")
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror or error}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    classes, prefixes = _classes(top)
-    sip, dns_table, module = top.table("sip"), top.table("dns"), top.table("module")
-    names = [kind.name for kind in classes]
-    default = sip.get("default_class", str, names[0])
-    if default not in names:
-        raise ConfigError(f"sip.default_class: no class is named {default!r}")
-    sip_settings = SipSettings(
-        listen=address(sip.get("listen", str), "sip.listen"),
-        default_class=default,
-        prefixes=prefixes,
-        waits={kind.name: span(kind.give_up_us) for kind in classes},
-        timers=Timers(sip.span("t1_ms", 500), sip.span("t2_ms", 4000), sip.span("t4_ms", 5000)),
-        connect_wait=sip.span("connect_wait_ms", 500),
-    )
-    transports = dns_table.texts("transports", list(TRANSPORTS))
-    if not transports or any(item not in TRANSPORTS for item in transports):
-        raise ConfigError(f"dns.transports: of {TRANSPORTS} wanted, not {transports!r}")
-    updates, door = dns_table.table("update"), top.table("door")
-    made = Operator(
-        sip=sip_settings,
-        zone=path.parent / dns_table.get("zone", str),
-        origin=dns_table.get("origin", str, "") or None,
-        transports=tuple(transports),
-        write_back=dns_table.get("write_back", bool, False),
-        updates=_updates(updates) if dns_table.has("update") else None,
-        control=address(door.get("control", str), "door.control") if top.has("door") else None,
-        settings=_module(module, classes),
-    )
-    for table in (top, sip, dns_table, updates, door, module):
-        table.done()
-    return made
-
-
-def _classes(top: Table) -> tuple[tuple[i.CallClass, ...], tuple[tuple[str, str], ...]]:
-    classes: list[i.CallClass] = []
-    prefixes: list[tuple[str, str]] = []
-    for table in top.tables("class"):
-        name = table.get("name", str)
-        if name in [kind.name for kind in classes]:
-            raise ConfigError(f"{table.path}.name: {name!r} stands twice")
-        classes.append(
-            i.CallClass(
-                name=name,
-                worth=table.amount("worth", float, 1.0, 0.0, 1e6),
-                late_share=table.amount("late_share", float, 0.25, 0.0, 1.0),
-                aim_us=span_micros(table.span("aim_ms", None)),
-                give_up_us=span_micros(table.span("give_up_ms", None)),
-                effect=i.Effect.REPEATABLE,
-                servers=None,
-            )
-        )
-        prefixes += [(prefix, name) for prefix in table.texts("prefixes", [])]
-        table.done()
-    if not classes:
-        raise ConfigError("class is missing")
-    return tuple(classes), tuple(prefixes)
-
-
-def _module(table: Table, classes: tuple[i.CallClass, ...]) -> i.Settings:
-    return i.Settings(
-        proxies=table.amount("controllers", int, 1, 1, 10_000),
-        classes=classes,
-        tenants=(),
-        over_quota_share=1.0,
-        resend_gap_us=span_micros(table.span("resend_gap_ms", 500)),
-        release_wait_us=span_micros(table.span("release_wait_ms", 200) + RELEASE_MARGIN),
-        cold_us=span_micros(timedelta(seconds=table.amount("cold_s", float, 14.0, 0.0, 3600.0))),
-        cold_start_share=table.amount("cold_start_share", float, 0.3, 0.0, 1.0),
-        fall_multiple=table.amount("fall_multiple", float, 2.5, 1.0, 100.0),
-        fall_span_us=span_micros(table.span("fall_span_ms", 1000)),
-        max_attempts=table.amount("max_attempts", int, 4, 1, 100),
-        may_cancel=True,
-        redials_marked=False,
-        subscribe=False,
-    )
-
-
-def _updates(table: Table) -> Updates:
-    keys: dict[dns.name.Name, dns.tsig.Key] = {}
-    for item in table.tables("key"):
-        name, secret = item.get("name", str), item.get("secret", str)
-        algorithm = item.get("algorithm", str, "hmac-sha256")
-        try:
-            key = dns.tsig.Key(name, base64.b64decode(secret, validate=True), algorithm)
-            dns.tsig.get_context(key)  # type: ignore[no-untyped-call]
-        except (dns.exception.DNSException, ValueError, NotImplementedError) as error:
-            raise ConfigError(f"{item.path}: {type(error).__name__} {error}") from None
-        keys[key.name] = key
-        item.done()
-    sources = table.texts("allow", ["127.0.0.1"])
-    for source in sources:
-        try:
-            ipaddress.ip_address(source)
-        except ValueError as error:
-            raise ConfigError(f"{table.path}.allow: {error}") from None
-    listen = address(table.get("listen", str), f"{table.path}.listen")
-    return Updates(listen, Policy(frozenset(sources), keys))
--- a/reedmount/dns/answers.py
+++ b/reedmount/dns/answers.py
@@ -42,7 +42,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Target:
     """One SRV record (RFC 2782)."""
 
@@ -106,13 +106,12 @@
 
 
 def _targets(records: list[Record]) -> tuple[Target, ...]:
-    return tuple(
-        dict.fromkeys(
-            Target(data.priority, data.weight, data.port, data.target.to_text().lower())
-            for record in records
-            if isinstance(data := record.data, dns.rdtypes.IN.SRV.SRV)
-        )
-    )
+    found = {
+        Target(data.priority, data.weight, data.port, data.target.to_text().lower())
+        for record in records
+        if isinstance(data := record.data, dns.rdtypes.IN.SRV.SRV)
+    }
+    return tuple(sorted(found))
 
 
 def _addresses(records: list[Record]) -> tuple[str, ...]:
--- a/reedmount/dns/health.py
+++ b/reedmount/dns/health.py
@@ -45,9 +45,12 @@
         self.all = {address: self.all.get(address) or NameServer(address) for address in addresses}
 
     def pick(self, now: datetime, passed: Collection[Address]) -> Address | None:
-        """Whom to ask next: a dead one whose rest is over, one question each time; else the quickest."""
+        """Whom to ask next: one that failed and has rested, one question each time; else the quickest.
+
+        Without that trial one that once lost a datagram would never be asked again while others do well.
+        """
         waiting = [server for server in self.all.values() if server.address not in passed]
-        due = [server for server in waiting if server.dead and self._rested(now, server)]
+        due = [server for server in waiting if server.failures and self._rested(now, server)]
         if due:
             trial = min(due, key=lambda server: (server.rest_until or now, server.address))
             self._rest(now, trial)  # no second question goes there before this one has failed
@@ -82,14 +85,13 @@
         server.last_fault = why
         if server.failures == DEAD_AFTER:
             COUNTERS.add("dns.ns.died")
-        if server.dead:
-            self._rest(now, server)
+        self._rest(now, server)
 
     @staticmethod
     def _rested(now: datetime, server: NameServer) -> bool:
         return server.rest_until is None or now >= server.rest_until
 
     def _rest(self, now: datetime, server: NameServer) -> None:
-        doubled = min(server.failures - DEAD_AFTER, 16)
+        doubled = min(server.failures - 1, 16)
         span = min(FIRST_REST * 2.0**doubled, LONGEST_REST)
         server.rest_until = now + span * self._chance.uniform(0.75, 1.25)
--- a/reedmount/dns/reader.py
+++ b/reedmount/dns/reader.py
@@ -19,7 +19,7 @@
 import dns.rdatatype
 import dns.wire
 
-RECORDS_MOST = 4096
+RECORDS_MOST = 4000
 SLICE = 48  # records between two looks at the rest of the program
 HEADER = struct.Struct("!HHHHHH")
 WANTED = frozenset(
--- /dev/null
+++ b/reedmount/dns/resolver.py
@@ -0,0 +1,301 @@
+"""The resolver's shell: sockets and timers round the questions. What is decided stands in ``asking``."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections import deque
+from collections.abc import Callable, Generator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import dns.message
+
+from reedmount.core.checks import COUNTERS
+from reedmount.dns.answers import Answer, Fault, Onwards, meaning
+from reedmount.dns.asking import Asking, GivenUp, Over, Patience, Pause, Try
+from reedmount.dns.cache import Bounds, Cache
+from reedmount.dns.health import NameServers
+from reedmount.dns.reader import Question, ReadError, Reply, head, read
+from reedmount.net.connection import Address, Connection, End, family_of
+from reedmount.net.loop import READ, Loop, Timer
+
+PAYLOAD = 1232  # bytes of a datagram that no path has to split
+LONGEST = 65535
+FLIGHTS_MOST = 64
+WAITING_MOST = 8192
+BETWEEN_SLICES = timedelta(milliseconds=1)
+DATAGRAMS_MOST = 8  # read from one socket in a turn: a flood waits its turn like all others
+Done = Callable[[Answer | GivenUp], None]
+
+
+@dataclass(frozen=True, slots=True)
+class ResolverSettings:
+    """Who is asked, and with how much patience and room."""
+
+    servers: tuple[Address, ...]
+    patience: Patience = field(default_factory=Patience)
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+class Resolver:
+    """One question in flight a name and type; all who ask for it meanwhile hear the same answer."""
+
+    def __init__(self, loop: Loop, settings: ResolverSettings, chance: random.Random) -> None:
+        self.loop, self.settings, self.chance = loop, settings, chance
+        self.health = NameServers(settings.servers, chance)
+        self.cache = Cache(settings.bounds)
+        self._flights: dict[Question, Flight] = {}
+        self._waiting: dict[Question, list[Done]] = {}
+        self._queue: deque[Question] = deque()
+
+    def settle(self, settings: ResolverSettings) -> None:
+        """Go by other settings; questions that are out go on as they were begun."""
+        self.settings = settings
+        self.health.settle(settings.servers)
+        self.cache.bounds = settings.bounds
+
+    @property
+    def flying(self) -> int:
+        """How many questions are out."""
+        return len(self._flights)
+
+    def ask(self, question: Question, done: Done, fresh: bool = False) -> None:
+        """Have a question answered: from the cache, unless it must be fresh, else from the net."""
+        kept = None if fresh else self.cache.get(self.loop.clock.now(), question)
+        if kept is not None:
+            COUNTERS.add("dns.cache.hits")
+            self.loop.soon(lambda: done(kept.answer))
+            return
+        waiting = self._waiting.get(question)
+        if waiting is not None:
+            waiting.append(done)
+            return
+        if len(self._waiting) >= WAITING_MOST:
+            COUNTERS.add("dns.no_room")
+            self.loop.soon(lambda: done(GivenUp("too many questions at once")))
+            return
+        self._waiting[question] = [done]
+        self._queue.append(question)
+        self._start_some()
+
+    def close(self) -> None:
+        """Ask nothing more, and tell nobody."""
+        self._queue.clear()
+        self._waiting.clear()
+        for flight in list(self._flights.values()):
+            flight.close()
+        self._flights.clear()
+
+    def ended(self, question: Question, result: Answer | GivenUp) -> None:
+        """A question has come to its end."""
+        del self._flights[question]
+        if isinstance(result, Answer):
+            now = self.loop.clock.now()
+            self.cache.put(now, question, Answer(result.ttl, result.targets, result.addresses))
+            for also, answer in result.extra.items():
+                self.cache.put(now, also, answer)
+            COUNTERS.add("dns.answered" if result.records else "dns.answered.negative")
+        else:
+            COUNTERS.add("dns.given_up")
+        for done in self._waiting.pop(question, ()):
+            done(result)
+        self._start_some()
+
+    def _start_some(self) -> None:
+        while self._queue and len(self._flights) < FLIGHTS_MOST:
+            question = self._queue.popleft()
+            flight = self._flights[question] = Flight(self, question)
+            COUNTERS.add("dns.asked")
+            flight.go_on()
+
+
+class Flight:
+    """One question that is out: at most one try, or a pause, or an answer that is being read."""
+
+    def __init__(self, resolver: Resolver, question: Question) -> None:
+        self._resolver, self._loop = resolver, resolver.loop
+        self._first = self._question = question
+        self._passed: tuple[str, ...] = ()  # names of the chain so far
+        self._ttl = 2**31 - 1
+        self._asking = self._begin()
+        self._try: Try | None = None
+        self._sock: socket.socket | None = None
+        self._connection: Connection | None = None
+        self._stream = bytearray()
+        self._timer: Timer | None = None
+        self._closed = False
+
+    def _begin(self) -> Asking:
+        settings = self._resolver.settings
+        now = self._loop.clock.now()
+        return Asking(now, self._resolver.health, settings.patience, self._resolver.chance)
+
+    def go_on(self) -> None:
+        """Do what is to be done next."""
+        step = self._asking.next(self._loop.clock.now())
+        match step:
+            case Try():
+                self._send(step)
+            case Pause(until):
+                self._timer = self._loop.at(until, self.go_on)
+            case GivenUp():
+                self._end(step)
+
+    def close(self) -> None:
+        """Let go of everything."""
+        self._closed = True
+        self._stop_try()
+
+    # --- a try ---
+
+    def _send(self, step: Try) -> None:
+        self._try = step
+        self._timer = self._loop.after(step.wait, lambda: self._fault(Fault.LOST))
+        message = dns.message.make_query(
+            self._question.name, self._question.rdtype, use_edns=0 if step.edns else False, payload=PAYLOAD
+        )
+        message.id = step.id
+        wire = message.to_wire()
+        COUNTERS.add(f"dns.sent.{step.over.value}")
+        if step.over is Over.TCP:
+            self._stream.clear()
+            self._connection = Connection.dial(
+                self._loop, step.server, step.wait, self._stream_heard, self._stream_ended
+            )
+            self._connection.send(len(wire).to_bytes(2, "big") + wire)
+            return
+        # A socket for this try alone: the system draws its port and drops what comes from elsewhere.
+        sock = self._sock = socket.socket(family_of(step.server), socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        try:
+            sock.connect(step.server)
+            sock.send(wire)
+        except OSError:
+            self._loop.soon(lambda: self._fault(Fault.UNREACHABLE) if self._try is step else None)
+            return
+        self._loop.watch(sock.fileno(), READ, self._readable)
+
+    def _readable(self, _: int) -> None:
+        for _turn in range(DATAGRAMS_MOST):
+            if self._sock is None:
+                return
+            try:
+                wire = self._sock.recv(LONGEST)
+            except BlockingIOError:
+                return
+            except OSError:  # an ICMP error: nobody listens there
+                self._fault(Fault.UNREACHABLE)
+                return
+            self._heard(wire)
+
+    def _stream_heard(self, connection: Connection) -> None:
+        self._stream += connection.incoming.peek()
+        connection.incoming.drop(len(connection.incoming))
+        if len(self._stream) >= 2:
+            size = 2 + int.from_bytes(self._stream[:2], "big")
+            if len(self._stream) >= size:
+                wire = bytes(self._stream[2:size])
+                if not self._heard(wire):
+                    self._fault(Fault.UNREADABLE)  # nobody else can write into this connection
+
+    def _stream_ended(self, connection: Connection, how: End) -> None:
+        if connection is self._connection:
+            unreachable = how in (End.REFUSED, End.NEVER_UP)
+            self._fault(Fault.UNREACHABLE if unreachable else Fault.HALF)
+
+    def _heard(self, wire: bytes) -> bool:
+        """Take a message, if it is an answer to this try at all; anybody may send others."""
+        if self._try is None:
+            return False
+        try:
+            reply = head(wire)
+        except ReadError:
+            COUNTERS.add("dns.dropped.unreadable")
+            return False
+        if not reply.flags & 0x8000:
+            COUNTERS.add("dns.dropped.no_reply")
+            return False
+        if reply.id != self._try.id:
+            COUNTERS.add("dns.dropped.id")
+            return False
+        if reply.question is None and reply.rcode:
+            # Some refuse without repeating the question; it says nothing but that.
+            self._read(read(wire))
+            return True
+        if reply.question != self._question:
+            COUNTERS.add("dns.dropped.question")
+            return False
+        if reply.cut:
+            self._fault(Fault.CUT)
+        else:
+            self._read(read(wire))
+        return True
+
+    def _read(self, reading: Generator[None, None, Reply]) -> None:
+        """Read on, a slice in each turn; the try is over as far as the net goes."""
+        self._stop_try()
+        tried = self._try
+
+        def more() -> None:
+            if self._closed or self._try is not tried:
+                return
+            try:
+                next(reading)
+            except StopIteration as end:
+                self._meant(end.value)
+            except ReadError:
+                self._fault(Fault.UNREADABLE)
+            else:
+                self._timer = self._loop.after(BETWEEN_SLICES, more)
+
+        more()
+
+    def _meant(self, reply: Reply) -> None:
+        found = meaning(reply, self._question, self._passed)
+        if isinstance(found, Fault):
+            self._fault(found)
+            return
+        now, tried = self._loop.clock.now(), self._try
+        if tried is not None:
+            self._asking.answered(now, tried)
+        self._ttl = min(self._ttl, found.ttl)
+        if isinstance(found, Onwards):
+            began = self._asking.began
+            self._question, self._passed = Question(found.name, self._question.rdtype), found.passed
+            self._asking, self._try = self._begin(), None
+            self._asking.began = began  # one deadline for the whole chain
+            self.go_on()
+        else:
+            self._end(Answer(self._ttl, found.targets, found.addresses, found.extra))
+
+    def _fault(self, fault: Fault) -> None:
+        """A try has come to nothing."""
+        tried = self._try
+        self._stop_try()
+        self._try = None
+        if tried is None or self._closed:
+            return
+        COUNTERS.add(f"dns.fault.{fault.name.lower()}")
+        if fault is Fault.CHAIN:
+            self._end(GivenUp(fault.value))
+            return
+        self._asking.failed(self._loop.clock.now(), tried, fault)
+        self.go_on()
+
+    def _stop_try(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._sock is not None:
+            self._loop.unwatch(self._sock.fileno())
+            self._sock.close()
+            self._sock = None
+        if self._connection is not None:
+            connection, self._connection = self._connection, None
+            connection.close()
+
+    def _end(self, result: Answer | GivenUp) -> None:
+        self.close()
+        self._resolver.ended(self._first, result)
+
--- a/reedmount/dns/zone.py
+++ b/reedmount/dns/zone.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import os
 from collections.abc import Sequence
 from dataclasses import dataclass
-from datetime import datetime
 from pathlib import Path
 
 import dns.exception
@@ -17,8 +15,6 @@
 import dns.rdatatype
 import dns.zone
 
-from reedmount.core.ports import Listed
-
 TRANSPORTS = ("udp", "tcp")
 
 
@@ -36,15 +32,6 @@
     priority: int
     weight: int
 
-    @property
-    def number(self) -> int:
-        """Its number in the pool: the same at each start, whatever else the zone holds."""
-        return int.from_bytes(hashlib.sha256(self.server.encode()).digest()[:4], "big") >> 1
-
-    def listed(self, serving: bool = True, started: datetime | None = None) -> Listed:
-        """As the core has it."""
-        return Listed(self.server, self.address, self.number, serving, False, started, self.transport)
-
 
 def load(path: Path, origin: str | None) -> dns.zone.Zone:
     """Read a zone file; an error tells where it is."""
@@ -111,22 +98,3 @@
             )
     return found
 
-
-def first_choice(found: dict[str, Found], number: str) -> int | None:
-    """The server of first choice for a number: of the lowest priority, shared out by weight (RFC 2782).
-
-    The same number goes to the same server while the zone stays as it is.
-    """
-    if not found:
-        return None
-    lowest = min(item.priority for item in found.values())
-    choices = [found[name] for name in sorted(found) if found[name].priority == lowest]
-    weights = [item.weight for item in choices]
-    if not any(weights):
-        weights = [1] * len(choices)
-    point = int.from_bytes(hashlib.sha256(number.encode()).digest()[:8], "big") % sum(weights)
-    for item, weight in zip(choices, weights, strict=True):
-        if point < weight:
-            return item.number
-        point -= weight
-    return None
--- a/reedmount/fronts/admin.py
+++ b/reedmount/fronts/admin.py
@@ -4,9 +4,9 @@
 
 import json
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
-from urllib.parse import urlsplit
+from urllib.parse import parse_qsl, urlsplit
 
 import h11
 
@@ -22,6 +22,7 @@
 LONGEST_BODY = 65536
 HEALTH, QUIESCE, RESUME = "/admin/health", "/admin/quiesce", "/admin/resume"
 METHODS = {HEALTH: "GET", QUIESCE: "POST", RESUME: "POST"}
+View = Callable[[dict[str, str]], dict[str, object]]  # what a GET shows, by its query
 
 
 class Visitor:
@@ -89,15 +90,16 @@
                 return
 
     def _call(self, request: h11.Request) -> None:
-        path = urlsplit(request.target.decode("ascii")).path
-        method = METHODS.get(path)
+        target = urlsplit(request.target.decode("ascii"))
+        path = target.path
+        method = self._door.methods.get(path)
         if method is None:
-            self._answer(404, {"error": "no such call", "calls": sorted(METHODS)})
+            self._answer(404, {"error": "no such call", "calls": sorted(self._door.methods)})
         elif request.method.decode("ascii") != method:
             self._answer(405, {"error": f"{path} takes {method}"}, (("Allow", method),))
         else:
             COUNTERS.add(f"door.{path.rpartition('/')[2]}")
-            self._answer(*self._door.called(path))
+            self._answer(*self._door.called(path, dict(parse_qsl(target.query, max_num_fields=8))))
 
     def _answer(self, status: int, body: dict[str, object], extra: tuple[tuple[str, str], ...] = ()) -> None:
         """The answer; the connection closes after it, but not so hard that it is lost on its way."""
@@ -118,9 +120,16 @@
     """The listener and its visitors. Silent ones are bounded, and crowd out nobody who has a call to make."""
 
     def __init__(
-        self, loop: Loop, address: Address, lifecycle: Lifecycle, figures: Callable[[], dict[str, int]]
+        self,
+        loop: Loop,
+        address: Address,
+        lifecycle: Lifecycle,
+        figures: Callable[[], dict[str, int]],
+        views: Mapping[str, View] | None = None,
     ) -> None:
         self.loop, self._lifecycle, self._figures = loop, lifecycle, figures
+        self._views = views or {}
+        self.methods = METHODS | dict.fromkeys(self._views, "GET")
         self._visitors: dict[Visitor, None] = {}
         self._count = 0
         self._sock = listen(loop, address, self._accept, urgent=True)
@@ -128,11 +137,13 @@
     @property
     def address(self) -> Address:
         """Where operators call."""
-        host, port = self._sock.getsockname()
+        host, port = self._sock.getsockname()[:2]
         return host, port
 
-    def called(self, path: str) -> tuple[int, dict[str, object]]:
+    def called(self, path: str, query: dict[str, str]) -> tuple[int, dict[str, object]]:
         """Do what is asked; 2xx means yes."""
+        if path in self._views:
+            return 200, self._views[path](query)
         good = True
         if path == HEALTH:
             good = self._lifecycle.ready
--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 
@@ -14,7 +14,6 @@
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import EPOCH, millis
 from reedmount.core.ports import Listed
-from reedmount.core.switch import Switch
 from reedmount.net.connection import Address, Connection, End, address_of
 from reedmount.net.loop import Actor, Loop, Timer
 
@@ -71,10 +70,17 @@
         raise BoardError(f"{type(error).__name__} {error}") from None
 
 
+class Told(Protocol):
+    """Who is told of the pool's news: the core, or a pool of several sources."""
+
+    def pool(self, version: int, kind: i.ListKind, entries: list[Listed]) -> None:
+        """News of the pool."""
+
+
 class Pool:
     """The list as told so far; it turns events into news for the core, in order and each once."""
 
-    def __init__(self, switch: Switch) -> None:
+    def __init__(self, switch: Told) -> None:
         self._switch = switch
         self._hosts: dict[str, Listed] = {}
         self.last = 0
@@ -162,6 +168,13 @@
         self._timer: Timer | None = None
         self._actor.post(Tick())
 
+    def close(self) -> None:
+        """Ask no more."""
+        self._lose()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._actor.stop()
+
     def move(self, address: Address) -> None:
         """The board is at another address from now on: the numbers go on, what is due is asked for there."""
         self._address = address
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -14,12 +14,20 @@
 from reedmount.core.ports import CUT, NORMAL, CancelSetup, Listed, Offer, Release, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.thin import cause_of
-from reedmount.net.connection import Address, End
+from reedmount.net.connection import Address, End, text_of
 from reedmount.net.loop import Actor, Loop, Timer
 from reedmount.sip import dialog as dialogs
 from reedmount.sip.dialog import Dialog
 from reedmount.sip.endpoint import Endpoint, TcpHop
-from reedmount.sip.message import Message, SipError, host_port, parameter, request, response, user_of
+from reedmount.sip.message import (
+    Message,
+    SipError,
+    host_port,
+    parameter,
+    request,
+    response,
+    user_of,
+)  # fmt: skip
 from reedmount.sip.transaction import COOKIE, ClientTransaction, Hop, ServerTransaction, State, Timers
 
 ALLOW = "INVITE, ACK, BYE, CANCEL, OPTIONS"
@@ -58,6 +66,7 @@
     waits: dict[str, timedelta]  # by class: how long a caller waits where it does not say
     timers: Timers
     connect_wait: timedelta
+    listen6: Address | None = None  # for IPv6, where call servers are reached by it
 
     def class_of(self, number: str, named: str | None) -> str:
         """The class of a call: named in X-Cos, else by the number called."""
@@ -86,8 +95,7 @@
     def answered(self, name: str, description: bytes) -> None:
         """200, repeated until the ACK comes."""
         invite = self.transaction.request
-        transport = "TCP" if self.transaction.hop.reliable else "UDP"
-        extra = [("Contact", self.front.endpoint.contact(transport)), ("Allow", ALLOW),
+        extra = [("Contact", self.front.endpoint.contact(self.transaction.hop)), ("Allow", ALLOW),
                  *(("Record-Route", value) for value in invite.all("Record-Route")),
                  *([("Content-Type", "application/sdp")] if description else [])]  # fmt: skip
         answer = response(invite, 200, extra, description, self.tag)
@@ -171,7 +179,7 @@
         self.server_legs: dict[dialogs.Key, ServerLeg] = {}
         self._random = random.Random(seed)
         self._count = 0
-        self.endpoint = Endpoint(loop, settings.listen, settings.timers, self)
+        self.endpoint = Endpoint(loop, settings.listen, settings.timers, self, settings.listen6)
         self.endpoint.on_hop_lost = self._hop_lost
         switch.lifecycle.met(Need.LISTENING)
 
@@ -188,7 +196,7 @@
 
     def via(self, hop: Hop) -> str:
         """A Via with a new branch."""
-        return self.endpoint.via("TCP" if hop.reliable else "UDP", COOKIE + self.token())
+        return self.endpoint.via(hop, COOKIE + self.token())
 
     def bye(self, dialog: Dialog | None, hop: Hop, cause: int) -> None:
         """End a leg; its answer changes nothing."""
@@ -355,15 +363,15 @@
         """Send the INVITE."""
         front = self.peer.front
         entry, setup = self.peer.entry, self.setup
-        transport = "TCP" if hop.reliable else "UDP"
-        target = f"sip:{setup.number}@{entry.address[0]}:{entry.address[1]};transport={transport.lower()}"
-        host = front.endpoint.address[0]
+        place = text_of(entry.address)
+        target = f"sip:{setup.number}@{place};transport={'tcp' if hop.reliable else 'udp'}"
+        host = text_of(front.endpoint.own(hop.ipv6)).rpartition(":")[0]
         invite = request("INVITE", target, [
             ("Via", front.via(hop)), ("Max-Forwards", "70"),
             ("From", f"<sip:reedmount@{host}>;tag={front.token()}"),
-            ("To", f"<sip:{setup.number}@{entry.address[0]}>"),
+            ("To", f"<sip:{setup.number}@{place.rpartition(':')[0]}>"),
             ("Call-ID", f"{front.token()}@{host}"), ("CSeq", "1 INVITE"),
-            ("Contact", front.endpoint.contact(transport)), ("Allow", ALLOW), ("X-Cos", setup.call_class),
+            ("Contact", front.endpoint.contact(hop)), ("Allow", ALLOW), ("X-Cos", setup.call_class),
             ("Expires", str(max(1, -(-setup.give_up // SECOND)))),
             *([("Content-Type", "application/sdp")] if setup.description else []),
         ], setup.description)  # fmt: skip
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -79,7 +79,7 @@
         on_sent: Callable[[Connection], None] = lambda _: None,
     ) -> Connection:
         """Connect; ``on_sent`` tells that it is up. A time-out and a refusal are told apart in ``on_end``."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = socket.socket(family_of(address), socket.SOCK_STREAM)
         sock.setblocking(False)
         code = sock.connect_ex(address)
         made = cls(loop, sock, on_data, on_end, on_sent)
@@ -230,7 +230,7 @@
 def both(loop: Loop, address: Address, on_accept: Callable[[socket.socket], None]) -> socket.socket:
     """Listen for connections and return a socket for datagrams at the same address."""
     for tries_left in range(PORTS_TRIED, -1, -1):
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        udp = socket.socket(family_of(address), socket.SOCK_DGRAM)
         udp.setblocking(False)
         try:
             udp.bind(address)
@@ -245,7 +245,7 @@
 
 def bind(address: Address, shared: bool = False) -> socket.socket:
     """A socket that listens at an address; a shared one leaves room for that of another process."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = socket.socket(family_of(address), socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         if shared:
@@ -276,7 +276,7 @@
     @property
     def address(self) -> Address:
         """Where it listens."""
-        host, port = self.sock.getsockname()
+        host, port = self.sock.getsockname()[:2]
         return host, port
 
     def start(self) -> None:
@@ -317,9 +317,24 @@
     return listener.sock
 
 
+def family_of(address: Address) -> socket.AddressFamily:
+    """IPv6 where the host is written with colons."""
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+
+
+def text_of(address: Address) -> str:
+    """An address as it is written: ``192.0.2.1:5060``, ``[2001:db8::1]:5060``."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 def address_of(text: str) -> Address:
-    """Read ``host:port``."""
+    """Read ``host:port``, an IPv6 address in brackets."""
     host, colon, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        raise ValueError(f"an IPv6 address without brackets: {text!r}")
     if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
         raise ValueError(f"not an address with a port: {text!r}")
     return host, int(port)
--- /dev/null
+++ b/reedmount/node.py
@@ -0,0 +1,172 @@
+"""A running border controller: the core, its module, a front, and what joins them."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from pathlib import Path
+
+from reedmount import interface as i
+from reedmount.config import ConfigError, Platform
+from reedmount.core.checks import COUNTERS, log
+from reedmount.core.lifecycle import Need, Phase
+from reedmount.core.switch import Switch
+from reedmount.fronts.admin import DOOR_SOCKETS, Door, View
+from reedmount.fronts.board import Board, Pool
+from reedmount.fronts.lanes import CallServers
+from reedmount.fronts.platform import Callers
+from reedmount.fronts.twin import Heirs, ask
+from reedmount.net.connection import Address, text_of
+from reedmount.net.loop import Loop
+
+STILL_COMING = timedelta(milliseconds=1500)  # after SIGTERM, requests come for a while
+NEWS_WAIT = timedelta(seconds=2)  # for the board, where another process has served until now
+LOOK_AGAIN = timedelta(milliseconds=200)
+OWN_SOCKETS = 16  # for all but callers, call servers and the door
+HEIR_SOCKETS = 24  # that a successor holds before it is ready
+LANE_SOCKETS = 48  # to call servers; of few descriptors a quarter
+
+
+class Node:
+    """The parts of a running border controller: the core, its module and one of the two fronts."""
+
+    def __init__(self, loop: Loop, settings: i.Settings, seed: int) -> None:
+        self._loop = loop
+        self.switch = Switch(loop, settings, seed)
+        self._callers: Callers | None = None
+        self._door: Door | None = None
+        self._lifecycle = self.switch.lifecycle
+        self._took = self._heirs_open = False
+        self._reread: Callable[[], None] = lambda: None
+        self.where = ""
+        self.parts: object = None  # what lives as long as it does
+
+    @classmethod
+    def on_platform(cls, loop: Loop, read: Callable[[], Platform]) -> Node:
+        """The platform's thin front and its notice board."""
+        config = read()
+        made = cls(loop, config.settings, config.seed)
+        lanes = min(LANE_SOCKETS, config.sockets // 4)
+        servers = CallServers(loop, made.switch, config.connect_wait, lanes)
+        made.switch.attach(servers)
+        pool = Pool(made.switch)
+        found = ask(config.handover, config.listen) if config.handover is not None else None
+        if found is not None:
+            made._lifecycle.also(Need.NEWS)  # until now another process heard of it
+        pool.start(config.known_last, config.known)
+        given, predecessor = found or (None, None)
+        callers = made._callers = Callers(loop, made.switch, config.listen, room_for_callers(config), given)
+        if predecessor is not None:
+            made._succeed(callers, predecessor)
+        made.open_door(config.control)
+        made.where = f"{config.name} serves at {text_of(callers.address)}"
+        news = (lambda: made._lifecycle.met(Need.NEWS)) if found is not None else None
+        board = Board(loop, config.board, pool, news)
+        if config.handover is not None:
+            made._wait_for_heir(callers, config.handover)
+
+        def reread() -> None:
+            nonlocal config
+            old, config = config, read().follows(config)
+            made.settle(config.settings)
+            servers.connect_wait = config.connect_wait
+            callers.most = room_for_callers(config)
+            pool.take(config.known_last, config.known)
+            if config.board != old.board:
+                board.move(config.board)
+            if (config.listen, config.name, config.control) != (old.listen, old.name, old.control):
+                log("listen, control and name are taken at the next start only")
+
+        made._reread = reread
+        return made
+
+    def _succeed(self, callers: Callers, predecessor: socket.socket) -> None:
+        """Take the clients of another process once this one is ready, and tell it so."""
+        log("a predecessor has given its listener")
+        callers.twin.join(predecessor)
+
+        def ready() -> None:
+            if self._lifecycle.ready and not self._took:
+                self._took = True
+                callers.listener.start()
+                callers.twin.tell("ready")
+
+        self._lifecycle.on_change(ready)
+        self._loop.after(NEWS_WAIT, lambda: self._lifecycle.met(Need.NEWS))
+
+    def _wait_for_heir(self, callers: Callers, folder: Path) -> None:
+        """Give the listener to a successor that asks for it, and the clients once it is ready."""
+        def joined(heir: socket.socket) -> None:
+            callers.reserve = HEIR_SOCKETS
+            callers.twin.join(heir)
+
+        def lost() -> None:
+            log("the other process is gone")
+            taken = self._lifecycle.superseded and self._lifecycle.phase is not Phase.ENDING
+            callers.take_back()
+            if taken:
+                heirs.open()
+
+        heirs = Heirs(self._loop, folder, callers.listener.sock, joined)
+        callers.twin.on("ready", lambda _: callers.hand_over())
+        callers.twin.on_lost = lost
+
+        def when_ready() -> None:
+            if self._lifecycle.ready and not self._heirs_open:
+                self._heirs_open = True
+                heirs.open()
+
+        self._lifecycle.on_change(when_ready)
+        when_ready()
+
+    def open_door(self, address: Address | None, views: Mapping[str, View] | None = None) -> None:
+        """Listen for operators, where the configuration says so."""
+        if address is not None:
+            self._door = Door(self._loop, address, self._lifecycle, lambda: self.switch.figures, views)
+            log(f"the door is at {text_of(self._door.address)}")
+
+    def on_reload(self, reread: Callable[[], None]) -> None:
+        """What SIGHUP does: it raises ConfigError and leaves all as it was, or takes the whole."""
+        self._reread = reread
+
+    def settle(self, settings: i.Settings) -> None:
+        """Go by other settings of the module, where they are others."""
+        if settings != self.switch.settings:
+            self.switch.settle(settings)
+
+    def reload(self) -> None:
+        """Read the configuration again; it is taken whole, or one line says what is wrong with it."""
+        try:
+            self._reread()
+        except ConfigError as error:
+            COUNTERS.add("reload.refused")
+            log(f"configuration kept as it was: {error}")
+        else:
+            COUNTERS.add("reload.taken")
+            log("configuration read again")
+
+    def signalled(self, number: int) -> None:
+        """SIGUSR1 prints the counters, SIGHUP reads the configuration; the others end it when all is done."""
+        if number == signal.SIGUSR1:
+            log(f"counters: {COUNTERS.text()}")
+        elif number == signal.SIGHUP:
+            self.reload()
+        elif self._lifecycle.phase is not Phase.ENDING:
+            log("stopping: answering what still comes")
+            self._lifecycle.end()
+            self._loop.after(STILL_COMING, self._end_when_quiet)
+
+    def _end_when_quiet(self) -> None:
+        if self.switch.quiet and (self._callers is None or self._callers.quiet):
+            self._loop.stopped = True
+        else:
+            self._loop.after(LOOK_AGAIN, self._end_when_quiet)
+
+
+def room_for_callers(config: Platform) -> int:
+    """How many connections callers may have."""
+    lanes = min(LANE_SOCKETS, config.sockets // 4)
+    return config.sockets - OWN_SOCKETS - lanes - (DOOR_SOCKETS if config.control is not None else 0)
+
--- /dev/null
+++ b/reedmount/operate.py
@@ -0,0 +1,177 @@
+"""The border controller of an operator's file: the SIP front, and one pool from the sources it names."""
+
+from __future__ import annotations
+
+import os
+import random
+from collections.abc import Callable
+
+import dns.zone
+
+from reedmount.config import ConfigError
+from reedmount.core.checks import log
+from reedmount.core.switch import Switch
+from reedmount.dns.server import UpdateServer
+from reedmount.dns.update import Master
+from reedmount.dns.zone import ZoneError, load
+from reedmount.fronts.board import Board
+from reedmount.fronts.board import Pool as BoardList
+from reedmount.fronts.sip import SipFront, SipServers
+from reedmount.net.connection import Address, text_of
+from reedmount.net.loop import Loop
+from reedmount.node import Node
+from reedmount.operator_file import Operator
+from reedmount.sources.host import PoolHost
+from reedmount.sources.lists import BOARD, FIXED, ZONE, BoardSource, ZoneSource, tell_fixed
+from reedmount.sources.srv import NAME as SRV
+from reedmount.sources.srv import SrvSource
+
+POOL = "/admin/pool"
+SOURCES = (BOARD, FIXED, ZONE, SRV)  # in this order where they name a server differently
+
+
+class Sources:
+    """All that tells of call servers, as the file has it now."""
+
+    def __init__(self, loop: Loop, switch: Switch, config: Operator, seed: int) -> None:
+        self._loop, self._config = loop, config
+        self._chance = random.Random(seed)
+        self.host = PoolHost(loop, switch, config.pool, SOURCES)
+        self._master: Master | None = None
+        self._zone: ZoneSource | None = None
+        self._srv: SrvSource | None = None
+        self._board: Board | None = None
+        self.updates: UpdateServer | None = None
+        if config.fixed:
+            tell_fixed(self.host, config.fixed)
+        if config.zone is not None:
+            self._open_zone(config, load(config.zone, config.origin))
+        if config.board is not None:
+            self._open_board(config.board)
+        if config.srv is not None:
+            self._open_srv(config)
+
+    def settle(self, config: Operator) -> None:
+        """The file has been read again. All of it is checked by now; the zone's file is read first."""
+        records = load(config.zone, config.origin) if config.zone is not None else None
+        old, self._config = self._config, config
+        if config.pool != old.pool:
+            self.host.settle(config.pool)
+        if config.fixed:
+            tell_fixed(self.host, config.fixed)
+        else:
+            self.host.drop(FIXED)
+        self._settle_zone(config, records)
+        if config.board != old.board:
+            self._settle_board(config.board)
+        if self._srv is None and config.srv is not None:
+            self._open_srv(config)
+        elif self._srv is not None and config.srv is not None:
+            self._srv.settle(config.srv)
+        elif self._srv is not None:
+            self._srv.close()
+            self._srv = None
+            for part in list(self.host.pool.sources[SRV].parts):
+                self.host.drop(SRV, part)
+
+    # --- the sources ---
+
+    def _open_zone(self, config: Operator, zone: dns.zone.Zone) -> None:
+        self._zone = ZoneSource(
+            self.host, zone, config.transports, config.zone if config.write_back else None
+        )
+        self._zone.start()
+        if config.updates is not None and self.updates is None:
+            self._master = Master(zone, config.updates.policy, self._zone.changed)
+            self.updates = UpdateServer(self._loop, config.updates.listen, self._master)
+
+    def _settle_zone(self, config: Operator, zone: dns.zone.Zone | None) -> None:
+        if zone is None:
+            self.host.drop(ZONE)
+            self._zone = None
+            return
+        if self._zone is None:
+            self._open_zone(config, zone)
+            return
+        self._zone.reload(zone, config.transports, config.zone if config.write_back else None)
+        if self._master is not None and config.updates is not None:
+            self._master.reload(zone, config.updates.policy)
+
+    def _open_board(self, address: Address) -> None:
+        listed = BoardList(BoardSource(self.host))
+        listed.start(0, [])
+        self._board = Board(self._loop, address, listed)
+
+    def _settle_board(self, address: Address | None) -> None:
+        if address is None:
+            if self._board is not None:
+                self._board.close()
+                self._board = None
+            self.host.drop(BOARD)
+        elif self._board is None:
+            self._open_board(address)
+        else:
+            self._board.move(address)
+
+    def _open_srv(self, config: Operator) -> None:
+        if config.srv is not None:
+            self._srv = SrvSource(self._loop, self.host, config.srv, self._chance)
+            self._srv.start()
+
+
+def serve_sip(loop: Loop, read: Callable[[], Operator]) -> Node:
+    """Build it. Raises ConfigError, which names the key or the zone's line, and OSError of a listener."""
+    config = read()
+    seed = int.from_bytes(os.urandom(8), "big")
+    made = Node(loop, config.settings, seed)
+    front = SipFront(loop, made.switch, config.sip, seed)
+    made.switch.attach(SipServers(front))
+    try:
+        sources = Sources(loop, made.switch, config, seed)
+    except ZoneError as error:
+        raise ConfigError(str(error)) from None
+    front.first_choice = sources.host.first_choice
+    made.open_door(config.control, {POOL: lambda query: sources.host.view(_after(query))})
+    made.where = f"SIP served at {text_of(front.endpoint.address)}, call servers from {_named(config)}"
+    made.parts = (front, sources)
+
+    def reread() -> None:
+        nonlocal config
+        fresh = read()
+        try:
+            sources.settle(fresh)
+        except ZoneError as error:
+            raise ConfigError(str(error)) from None
+        old, config = config, fresh
+        made.settle(config.settings)
+        front.settings = config.sip
+        places = [
+            (item.sip.listen, item.sip.listen6, item.sip.timers,
+             item.updates and item.updates.listen, item.control)
+            for item in (old, config)
+        ]  # fmt: skip
+        if places[0] != places[1]:
+            log("sip.listen, timers, dns.update.listen and door.control are taken at the next start only")
+
+    made.on_reload(reread)
+    return made
+
+
+def _named(config: Operator) -> str:
+    """The sources, for the line at the start."""
+    parts = []
+    if config.board is not None:
+        parts.append(f"the list at {text_of(config.board)}")
+    if config.fixed:
+        parts.append(f"{len(config.fixed)} in the file")
+    if config.zone is not None:
+        parts.append(f"zone {config.origin or config.zone.name}")
+    if config.srv is not None:
+        parts.append(", ".join(name for name, _ in config.srv.names))
+    return "; ".join(parts)
+
+
+def _after(query: dict[str, str]) -> int:
+    """The page that is asked for; what is no number is the first."""
+    text = query.get("after", "0")
+    return int(text) if text.isdecimal() and len(text) < 9 else 0
--- /dev/null
+++ b/reedmount/operator_file.py
@@ -0,0 +1,330 @@
+"""The only reader of operator files: typed tables, defaults, and errors that name the key."""
+
+from __future__ import annotations
+
+import base64
+import ipaddress
+import tomllib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, TypeVar
+
+import dns.exception
+import dns.name
+import dns.tsig
+
+from reedmount import interface as i
+from reedmount.config import RELEASE_MARGIN, ConfigError, address
+from reedmount.core.clock import millis, span, span_micros
+from reedmount.dns.asking import Patience
+from reedmount.dns.cache import Bounds
+from reedmount.dns.resolver import ResolverSettings
+from reedmount.dns.update import Policy
+from reedmount.dns.watch import Retry
+from reedmount.dns.zone import TRANSPORTS
+from reedmount.fronts.sip import SipSettings
+from reedmount.net.connection import Address
+from reedmount.pool.bands import BandSettings
+from reedmount.pool.pool import Past
+from reedmount.pool.words import Claim
+from reedmount.sip.transaction import Timers
+from reedmount.sources.host import PoolSettings
+from reedmount.sources.srv import SrvSettings
+
+T = TypeVar("T")
+N = TypeVar("N", int, float)
+
+
+@dataclass(frozen=True, slots=True)
+class Updates:
+    """Where dynamic updates are taken, and from whom."""
+
+    listen: Address
+    policy: Policy
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """All that an operator's file says."""
+
+    sip: SipSettings
+    zone: Path | None
+    origin: str | None
+    transports: tuple[str, ...]
+    write_back: bool
+    updates: Updates | None
+    control: Address | None
+    settings: i.Settings
+    pool: PoolSettings
+    board: Address | None
+    fixed: tuple[Claim, ...]
+    srv: SrvSettings | None
+
+
+class Table:
+    """One table of the file; what is asked for is checked, and what was never asked for is a fault."""
+
+    def __init__(self, values: Any, path: str) -> None:
+        if not isinstance(values, dict):
+            raise ConfigError(f"{path} is not a table")
+        self._values, self.path, self._asked = values, path, set[str]()
+
+    def get(self, key: str, kind: type[T], default: T | None = None) -> T:
+        """A value of a kind; without a default it must be there."""
+        self._asked.add(key)
+        value = self._values.get(key, default)
+        if value is None:
+            raise ConfigError(f"{self.path}.{key} is missing")
+        if kind is float and isinstance(value, int) and not isinstance(value, bool):
+            value = float(value)
+        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+            raise ConfigError(f"{self.path}.{key}: {kind.__name__} wanted, not {value!r}")
+        return value
+
+    def amount(self, key: str, kind: type[N], default: N | None, least: N, most: N) -> N:
+        """A number within bounds."""
+        value = self.get(key, kind, default)
+        if not least <= value <= most:
+            raise ConfigError(f"{self.path}.{key}: {value} is not within {least} and {most}")
+        return value
+
+    def span(self, key: str, default: int | None, least: int = 1, most: int = 3_600_000) -> timedelta:
+        """A span given in whole milliseconds."""
+        return millis(self.amount(key, int, default, least, most))
+
+    def seconds(self, key: str, default: float, least: float, most: float) -> timedelta:
+        """A span given in seconds."""
+        return timedelta(seconds=self.amount(key, float, default, least, most))
+
+    def texts(self, key: str, default: list[str]) -> list[str]:
+        """A list of strings."""
+        values = self.get(key, list, default)
+        if not all(isinstance(value, str) for value in values):
+            raise ConfigError(f"{self.path}.{key}: strings wanted, not {values!r}")
+        return values
+
+    def table(self, key: str) -> Table:
+        """A table within this one; one that is not there is empty."""
+        self._asked.add(key)
+        return Table(self._values.get(key, {}), f"{self.path}.{key}".lstrip("."))
+
+    def tables(self, key: str) -> list[Table]:
+        """A list of tables."""
+        values = self.get(key, list, [])
+        return [Table(value, f"{self.path}.{key}[{n}]".lstrip(".")) for n, value in enumerate(values)]
+
+    def has(self, key: str) -> bool:
+        """Whether it is there."""
+        return key in self._values
+
+    def done(self) -> None:
+        """A key that nobody asked for is a misspelt one."""
+        for key in self._values:
+            if key not in self._asked:
+                raise ConfigError(f"{self.path}.{key}".lstrip(".") + " is not known")
+
+
+def read_operator(path: Path) -> Operator:
+    """Read and check an operator's file."""
+    try:
+        with path.open("rb") as file:
+            top = Table(tomllib.load(file), "")
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    classes, prefixes = _classes(top)
+    sip, dns_table, module = top.table("sip"), top.table("dns"), top.table("module")
+    pool, srv = top.table("pool"), top.table("srv")
+    names = [kind.name for kind in classes]
+    default = sip.get("default_class", str, names[0])
+    if default not in names:
+        raise ConfigError(f"sip.default_class: no class is named {default!r}")
+    listen6 = address(sip.get("listen6", str), "sip.listen6") if sip.has("listen6") else None
+    if listen6 is not None and ":" not in listen6[0]:
+        raise ConfigError(f"sip.listen6: not an IPv6 address: {listen6[0]}")
+    sip_settings = SipSettings(
+        listen=address(sip.get("listen", str), "sip.listen"),
+        default_class=default,
+        prefixes=prefixes,
+        waits={kind.name: span(kind.give_up_us) for kind in classes},
+        timers=Timers(sip.span("t1_ms", 500), sip.span("t2_ms", 4000), sip.span("t4_ms", 5000)),
+        connect_wait=sip.span("connect_wait_ms", 500),
+        listen6=listen6,
+    )
+    transports = dns_table.texts("transports", list(TRANSPORTS))
+    if not transports or any(item not in TRANSPORTS for item in transports):
+        raise ConfigError(f"dns.transports: of {TRANSPORTS} wanted, not {transports!r}")
+    updates, door = dns_table.table("update"), top.table("door")
+    made = Operator(
+        sip=sip_settings,
+        zone=path.parent / dns_table.get("zone", str) if top.has("dns") else None,
+        origin=dns_table.get("origin", str, "") or None,
+        transports=tuple(transports),
+        write_back=dns_table.get("write_back", bool, False),
+        updates=_updates(updates) if dns_table.has("update") else None,
+        control=address(door.get("control", str), "door.control") if top.has("door") else None,
+        settings=_module(module, classes),
+        pool=_pool(pool),
+        board=numeric(pool.get("board", str), f"{pool.path}.board") if pool.has("board") else None,
+        fixed=tuple(_fixed(pool)),
+        srv=_srv(srv, listen6 is not None) if top.has("srv") else None,
+    )
+    for table in (top, sip, dns_table, updates, door, module, pool, srv):
+        table.done()
+    if made.zone is None and made.board is None and not made.fixed and made.srv is None:
+        raise ConfigError("no source of call servers: dns.zone, pool.board, pool.servers or srv.names")
+    return made
+
+
+def _pool(table: Table) -> PoolSettings:
+    try:
+        past = Past(table.get("past_bound", str, Past.DRAIN.value))
+    except ValueError:
+        raise ConfigError(f"{table.path}.past_bound: of {[item.value for item in Past]} wanted") from None
+    return PoolSettings(
+        past=past,
+        start_for=table.seconds("start_s", 10.0, 0.0, 3600.0),
+        gone_for=table.seconds("gone_s", 600.0, 1.0, 86_400.0),
+        unranked=(table.amount("priority", int, 0, 0, 65535), table.amount("weight", int, 1, 0, 65535)),
+        bands=BandSettings(
+            press=table.span("press_ms", 50, 5, 10_000),
+            step=table.span("step_ms", 200, 5, 60_000),
+            close=table.seconds("close_s", 10.0, 0.1, 3600.0),
+            down=table.seconds("down_s", 5.0, 0.1, 3600.0),
+        ),
+    )
+
+
+def _fixed(table: Table) -> Iterator[Claim]:
+    """``udp:192.0.2.1:5060``; the transport may be left out and is TCP then."""
+    for text in table.texts("servers", []):
+        transport, colon, place = text.partition(":")
+        if not colon or transport not in TRANSPORTS:
+            transport, place = "tcp", text
+        yield Claim(numeric(place, f"{table.path}.servers"), text, transport=transport)
+
+
+def _srv(table: Table, ipv6_served: bool) -> SrvSettings:
+    names = table.texts("names", [])
+    if not names:
+        raise ConfigError(f"{table.path}.names is missing")
+    servers = [numeric(text, f"{table.path}.name_servers") for text in table.texts("name_servers", [])]
+    if not servers:
+        raise ConfigError(f"{table.path}.name_servers is missing")
+    ipv6 = table.get("ipv6", bool, False)
+    if ipv6 and not ipv6_served:
+        raise ConfigError(f"{table.path}.ipv6 needs sip.listen6: call servers have to find their way back")
+    bounds = Bounds(
+        floor=table.seconds("ttl_floor_s", 1.0, 0.1, 3600.0),
+        ceiling=table.seconds("ttl_ceiling_s", 300.0, 1.0, 604_800.0),
+        entries=table.amount("cache_entries", int, 8192, 16, 1_000_000),
+        memory=table.amount("cache_kib", int, 8192, 64, 1 << 20) << 10,
+    )
+    if bounds.floor > bounds.ceiling:
+        raise ConfigError(f"{table.path}.ttl_floor_s: above ttl_ceiling_s")
+    patience = Patience(
+        deadline=table.span("deadline_ms", 5000, 100, 60_000),
+        first=table.span("try_ms", 400, 10, 10_000),
+        tcp=table.span("tcp_ms", 2000, 10, 30_000),
+    )
+    retry = Retry(table.span("retry_ms", 2000, 100), table.span("retry_most_ms", 30_000, 100))
+    return SrvSettings(
+        names=tuple(_srv_name(text, table.path) for text in dict.fromkeys(names)),
+        resolver=ResolverSettings(tuple(dict.fromkeys(servers)), patience, bounds),
+        keep_for=table.seconds("stale_s", 86_400.0, 0.0, 604_800.0),
+        retry=retry,
+        ipv6=ipv6,
+    )
+
+
+def _srv_name(text: str, path: str) -> tuple[str, str]:
+    """The name, absolute and in lower case, and the transport that its second label stands for."""
+    try:
+        name = dns.name.from_text(text).to_text().lower()
+    except dns.exception.DNSException as error:
+        raise ConfigError(f"{path}.names: {text!r}: {type(error).__name__}") from None
+    labels = name.split(".")
+    if len(labels) < 3 or labels[1].lstrip("_") not in TRANSPORTS:
+        raise ConfigError(f"{path}.names: {text!r} is not of the form _sip._tcp.NAME or _sip._udp.NAME")
+    return name, labels[1].lstrip("_")
+
+
+def numeric(text: str, key: str) -> Address:
+    """An address with a port, with no name in it that would have to be looked up."""
+    found = address(text, key)
+    try:
+        ipaddress.ip_address(found[0])
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from None
+    if not found[1]:
+        raise ConfigError(f"{key}: port 0 in {text!r}")
+    return found
+
+
+def _classes(top: Table) -> tuple[tuple[i.CallClass, ...], tuple[tuple[str, str], ...]]:
+    classes: list[i.CallClass] = []
+    prefixes: list[tuple[str, str]] = []
+    for table in top.tables("class"):
+        name = table.get("name", str)
+        if name in [kind.name for kind in classes]:
+            raise ConfigError(f"{table.path}.name: {name!r} stands twice")
+        classes.append(
+            i.CallClass(
+                name=name,
+                worth=table.amount("worth", float, 1.0, 0.0, 1e6),
+                late_share=table.amount("late_share", float, 0.25, 0.0, 1.0),
+                aim_us=span_micros(table.span("aim_ms", None)),
+                give_up_us=span_micros(table.span("give_up_ms", None)),
+                effect=i.Effect.REPEATABLE,
+                servers=None,
+            )
+        )
+        prefixes += [(prefix, name) for prefix in table.texts("prefixes", [])]
+        table.done()
+    if not classes:
+        raise ConfigError("class is missing")
+    return tuple(classes), tuple(prefixes)
+
+
+def _module(table: Table, classes: tuple[i.CallClass, ...]) -> i.Settings:
+    return i.Settings(
+        proxies=table.amount("controllers", int, 1, 1, 10_000),
+        classes=classes,
+        tenants=(),
+        over_quota_share=1.0,
+        resend_gap_us=span_micros(table.span("resend_gap_ms", 500)),
+        release_wait_us=span_micros(table.span("release_wait_ms", 200) + RELEASE_MARGIN),
+        cold_us=span_micros(timedelta(seconds=table.amount("cold_s", float, 14.0, 0.0, 3600.0))),
+        cold_start_share=table.amount("cold_start_share", float, 0.3, 0.0, 1.0),
+        fall_multiple=table.amount("fall_multiple", float, 2.5, 1.0, 100.0),
+        fall_span_us=span_micros(table.span("fall_span_ms", 1000)),
+        max_attempts=table.amount("max_attempts", int, 4, 1, 100),
+        may_cancel=True,
+        redials_marked=False,
+        subscribe=False,
+    )
+
+
+def _updates(table: Table) -> Updates:
+    keys: dict[dns.name.Name, dns.tsig.Key] = {}
+    for item in table.tables("key"):
+        name, secret = item.get("name", str), item.get("secret", str)
+        algorithm = item.get("algorithm", str, "hmac-sha256")
+        try:
+            key = dns.tsig.Key(name, base64.b64decode(secret, validate=True), algorithm)
+            dns.tsig.get_context(key)  # type: ignore[no-untyped-call]
+        except (dns.exception.DNSException, ValueError, NotImplementedError) as error:
+            raise ConfigError(f"{item.path}: {type(error).__name__} {error}") from None
+        keys[key.name] = key
+        item.done()
+    sources = table.texts("allow", ["127.0.0.1"])
+    for source in sources:
+        try:
+            ipaddress.ip_address(source)
+        except ValueError as error:
+            raise ConfigError(f"{table.path}.allow: {error}") from None
+    listen = address(table.get("listen", str), f"{table.path}.listen")
+    return Updates(listen, Policy(frozenset(sources), keys))
--- a/reedmount/pool/bands.py
+++ b/reedmount/pool/bands.py
@@ -142,9 +142,9 @@
         return self._order[: self._open]
 
     @property
-    def restless(self) -> bool:
-        """Whether time alone may change something: an upper band is open, or a member is down."""
-        return self._open > 1 or bool(self._down)
+    def several(self) -> bool:
+        """Whether there is more than one band at all."""
+        return len(self._order) > 1
 
     def first_choice(self, number: str) -> int | None:
         """The number of the server of first choice: in the lowest band, shared out by weight.
--- a/reedmount/pool/pool.py
+++ b/reedmount/pool/pool.py
@@ -9,9 +9,10 @@
 from enum import Enum
 
 from reedmount.core.checks import COUNTERS, invariant
+from reedmount.net.connection import text_of
 from reedmount.pool.rule import SERVES, Rule, decide
 from reedmount.pool.source import Source
-from reedmount.pool.words import Claim, Place, Word, text_of
+from reedmount.pool.words import Claim, Place, Word
 
 SERVERS_MOST = 4096
 MARKS_MOST = 4096  # of servers that are gone
--- a/reedmount/pool/words.py
+++ b/reedmount/pool/words.py
@@ -40,8 +40,3 @@
         if self.word not in (Word.SERVING, Word.DRAINING, Word.GONE):
             raise ValueError(f"no source can say {self.word.value}")
 
-
-def text_of(place: Place) -> str:
-    """A place as it is written: ``192.0.2.1:5060``, ``[2001:db8::1]:5060``."""
-    host, port = place
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/reedmount/sip/endpoint.py
+++ b/reedmount/sip/endpoint.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 
 from reedmount.core.checks import COUNTERS, log
-from reedmount.net.connection import Address, Connection, End, both
+from reedmount.net.connection import Address, Connection, End, both, text_of
 from reedmount.net.loop import READ, Actor, Loop
 from reedmount.sip.framing import next_message
 from reedmount.sip.message import (
@@ -19,8 +19,18 @@
     parameter,
     parse_datagram,
     parse_head,
+    split_place,
+)
+from reedmount.sip.transaction import (
+    Hop,
+    Layer,
+    ServerTransaction,
+    Timers,
+    User,
+    answer_error,
+    check,
+    top_via,
 )
-from reedmount.sip.transaction import Layer, ServerTransaction, Timers, User, answer_error, check, top_via
 
 CONNECTIONS = 512
 
@@ -33,6 +43,11 @@
     address: Address
     reliable: bool = False
 
+    @property
+    def ipv6(self) -> bool:
+        """Whether it goes over IPv6."""
+        return ":" in self.address[0]
+
     def send(self, data: bytes) -> None:
         """Send it; what the system does not take is lost, as datagrams may be."""
         try:
@@ -48,6 +63,7 @@
 
     def __init__(self, endpoint: Endpoint, sock: socket.socket) -> None:
         self._endpoint = endpoint
+        self.ipv6 = sock.family == socket.AF_INET6
         self._actor: Actor[End | None] = Actor(endpoint.loop, self._handle)
         self.on_lost: Callable[[End], None] | None = None
         self.on_up: Callable[[], None] | None = None
@@ -57,7 +73,7 @@
     def dial(cls, endpoint: Endpoint, address: Address, wait: timedelta) -> TcpHop:
         """Connect to the next element."""
         made = cls.__new__(cls)
-        made._endpoint = endpoint
+        made._endpoint, made.ipv6 = endpoint, ":" in address[0]
         made._actor = Actor(endpoint.loop, made._handle)
         made.on_lost = made.on_up = None
         made.connection = Connection.dial(
@@ -127,29 +143,41 @@
 class Endpoint:
     """The transport layer (section 18) under the transactions."""
 
-    def __init__(self, loop: Loop, address: Address, timers: Timers, user: User) -> None:
+    def __init__(
+        self, loop: Loop, address: Address, timers: Timers, user: User, address6: Address | None = None
+    ) -> None:
         self.loop = loop
         self.layer = Layer(loop, timers, user)
         self.on_hop_lost: Callable[[list[ServerTransaction]], None] = lambda _: None
         self._hops: dict[TcpHop, None] = {}
         self._udp = both(loop, address, self._accept)
-        self.address: Address = self._udp.getsockname()
+        self.address: Address = self._udp.getsockname()[:2]
         self._datagrams: Actor[tuple[bytes, Address]] = Actor(loop, self._datagram)
-        loop.watch(self._udp.fileno(), READ, self._readable)
+        loop.watch(self._udp.fileno(), READ, lambda _: self._readable(self._udp))
+        self._udp6 = both(loop, address6, self._accept) if address6 is not None else None
+        self.address6: Address | None = None
+        if self._udp6 is not None:
+            sock6 = self._udp6
+            self.address6 = sock6.getsockname()[:2]
+            loop.watch(sock6.fileno(), READ, lambda _: self._readable(sock6))
 
     def udp(self, address: Address) -> UdpHop:
         """The way to an address by datagrams."""
-        return UdpHop(self._udp, address)
+        return UdpHop(self._udp6 if self._udp6 is not None and ":" in address[0] else self._udp, address)
+
+    def own(self, ipv6: bool) -> Address:
+        """Where we are found over this version of IP."""
+        return self.address6 if ipv6 and self.address6 is not None else self.address
 
-    def via(self, transport: str, branch: str) -> str:
+    def via(self, hop: Hop, branch: str) -> str:
         """Our Via value."""
-        host, port = self.address
-        return f"SIP/2.0/{transport.upper()} {host}:{port};branch={branch};rport"
+        transport = "TCP" if hop.reliable else "UDP"
+        return f"SIP/2.0/{transport} {text_of(self.own(hop.ipv6))};branch={branch};rport"
 
-    def contact(self, transport: str) -> str:
+    def contact(self, hop: Hop) -> str:
         """Our Contact value."""
-        host, port = self.address
-        return f"<sip:reedmount@{host}:{port};transport={transport.lower()}>"
+        transport = "tcp" if hop.reliable else "udp"
+        return f"<sip:reedmount@{text_of(self.own(hop.ipv6))};transport={transport}>"
 
     def received(self, message: Message, hop: UdpHop | TcpHop) -> None:
         """Check a message and give it to its transaction."""
@@ -178,15 +206,15 @@
     def _way_back(self, message: Message, hop: UdpHop) -> UdpHop:
         """Answers go to where the request came from; to the port of its Via unless it asks (RFC 3581)."""
         via = top_via(message)
-        host, number = hop.address
+        host, number = hop.address[:2]
         if parameter(via, "rport") is not None:
             mark_source(message, f";received={host}", f";rport={number}")
             return hop
-        if via.partition(";")[0].split()[-1].partition(":")[0] != host:
+        sent_from, port = split_place(via.partition(";")[0].split()[-1])
+        if sent_from != host:
             mark_source(message, f";received={host}", "")
-        port = via.partition(";")[0].split()[-1].partition(":")[2]
-        number = int(port) if port.isdecimal() and 0 < int(port) < 65536 else 5060
-        return self.udp((hop.address[0], number))
+        number = int(port) if port.isdecimal() and len(port) < 6 and 0 < int(port) < 65536 else 5060
+        return self.udp((host, number))
 
     def _accept(self, sock: socket.socket) -> None:
         if len(self._hops) >= CONNECTIONS:
@@ -195,15 +223,15 @@
             return
         self._hops[TcpHop(self, sock)] = None
 
-    def _readable(self, _: int) -> None:
+    def _readable(self, sock: socket.socket) -> None:
         while True:
             try:
-                item = self._udp.recvfrom(65536)
+                data, address = sock.recvfrom(65536)
             except BlockingIOError:
                 return
             except OSError:
                 continue  # an ICMP error of an earlier datagram: its transaction times out
-            self._datagrams.post(item)
+            self._datagrams.post((data, address[:2]))
 
     def _datagram(self, item: tuple[bytes, Address]) -> None:
         data, address = item
--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -255,12 +255,21 @@
     return rest.partition("@")[0].partition(";")[0] if "@" in rest else ""
 
 
+def split_place(text: str) -> tuple[str, str]:
+    """The host and the port of ``host:port``, either of which may be empty; IPv6 stands in brackets."""
+    if text.startswith("["):
+        host, _, rest = text[1:].partition("]")
+        return host, rest.removeprefix(":")
+    host, _, port = text.partition(":")
+    return host, port
+
+
 def host_port(uri: str) -> tuple[str, int]:
     """The host and port of a SIP address; 5060 where it names none."""
     if not uri.lower().startswith("sip:"):
         raise SipError(400, f"not a SIP address: {uri[:40]!r}")
     place = uri.partition(":")[2].rpartition("@")[2].partition(";")[0].partition("?")[0]
-    host, _, port = place.partition(":")
+    host, port = split_place(place)
     if not host or (port and not (port.isdecimal() and 0 < int(port) < 65536)):
         raise SipError(400, f"no host and port in {uri[:40]!r}")
     return host, int(port or 5060)
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -37,6 +37,10 @@
     def reliable(self) -> bool:
         """Whether what is sent arrives, or its end is told."""
 
+    @property
+    def ipv6(self) -> bool:
+        """Whether it goes over IPv6."""
+
     def send(self, data: bytes) -> None:
         """Write a message."""
 
--- /dev/null
+++ b/reedmount/sources/srv.py
@@ -0,0 +1,148 @@
+"""SRV names as a source: the watches, their questions, and what they hear."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from reedmount.core.checks import COUNTERS, log
+from reedmount.dns.answers import Answer
+from reedmount.dns.asking import GivenUp
+from reedmount.dns.reader import Question
+from reedmount.dns.resolver import Resolver, ResolverSettings
+from reedmount.dns.watch import Retry, Watch
+from reedmount.net.loop import Loop, Timer
+from reedmount.sources.host import PoolHost
+
+NAME = "srv"
+
+
+@dataclass(frozen=True, slots=True)
+class SrvSettings:
+    """What the operator's file says in ``[srv]``."""
+
+    names: tuple[tuple[str, str], ...]  # SRV name and the transport it stands for, the preferred first
+    resolver: ResolverSettings
+    keep_for: timedelta = timedelta(days=1)  # beyond the lifetime, RFC 8767 section 5
+    retry: Retry = field(default_factory=Retry)
+    ipv6: bool = False
+
+
+class SrvSource:
+    """One watch a name; each is a part of the source."""
+
+    def __init__(self, loop: Loop, host: PoolHost, settings: SrvSettings, chance: random.Random) -> None:
+        self._loop, self._host, self.settings, self._chance = loop, host, settings, chance
+        self.resolver = Resolver(loop, settings.resolver, chance)
+        self._watches: dict[str, Watch] = {}
+        self._timers: dict[str, Timer] = {}
+        self._silent: set[str] = set()  # names that have failed at the start, or since their last answer
+
+    def start(self) -> None:
+        """Ask for the first time."""
+        for name, transport in self.settings.names:
+            self._open(name, transport)
+
+    def settle(self, settings: SrvSettings) -> None:
+        """Go by other settings: names that go are no part any more, new ones are asked for."""
+        old, self.settings = dict(self.settings.names), settings
+        self.resolver.settle(settings.resolver)
+        wanted = dict(settings.names)
+        for name, transport in old.items():
+            if wanted.get(name) != transport:
+                self._close(name)
+        for name, transport in wanted.items():
+            watch = self._watches.get(name)
+            if watch is None:
+                self._open(name, transport)
+            else:
+                watch.bounds, watch.retry = settings.resolver.bounds, settings.retry
+                watch.ipv6 = settings.ipv6
+                if watch.due_at is not None:
+                    self._set(name, timedelta(0))  # ask again with what holds now
+
+    def close(self) -> None:
+        """Ask nothing more; what was said stays."""
+        for timer in self._timers.values():
+            timer.cancel()
+        self.resolver.close()
+
+    def _open(self, name: str, transport: str) -> None:
+        settings = self.settings
+        self._watches[name] = Watch(
+            name, transport, settings.resolver.bounds, settings.retry, settings.ipv6, self._chance
+        )
+        self._ask(name)
+
+    def _close(self, name: str) -> None:
+        del self._watches[name]
+        self._silent.discard(name)
+        timer = self._timers.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+        self._host.drop(NAME, name)
+
+    # --- rounds ---
+
+    def _set(self, name: str, span: timedelta) -> None:
+        timer = self._timers.get(name)
+        if timer is not None:
+            timer.cancel()
+        self._timers[name] = self._loop.after(span, lambda: self._ask(name))
+
+    def _ask(self, name: str) -> None:
+        watch = self._watches[name]
+        COUNTERS.add("srv.rounds")
+        self.resolver.ask(watch.begin(), self._hearing(watch, self._heard), fresh=True)
+
+    def _hearing(
+        self, watch: Watch, hear: Callable[[Watch, Answer | GivenUp], None]
+    ) -> Callable[[Answer | GivenUp], None]:
+        """Hear an answer only as long as the watch is still wanted."""
+        def heard(answer: Answer | GivenUp) -> None:
+            if self._watches.get(watch.name) is watch:
+                hear(watch, answer)
+
+        return heard
+
+    def _heard(self, watch: Watch, answer: Answer | GivenUp) -> None:
+        now = self._loop.clock.now()
+        if isinstance(answer, GivenUp):
+            failed = watch.failed(now, answer.why)
+            self._host.failed(NAME, failed.why, watch.name)
+            if watch.name not in self._silent:
+                self._silent.add(watch.name)
+                serving = len(self._host.bands.members)
+                log(f"{watch.name}: {failed.why}; going on with {serving} call servers", "srv.silent")
+            self._again(watch)
+            return
+        if watch.name in self._silent:
+            self._silent.discard(watch.name)
+            log(f"{watch.name}: answered again", "srv.answered_again")
+        kept = {
+            question: found.answer
+            for question in watch.addresses(answer)
+            if (found := self.resolver.cache.get(now, question)) is not None
+        }
+        for question in watch.heard(now, answer, kept):
+            self.resolver.ask(question, self._address(watch, question))
+        self._maybe_end(watch)
+
+    def _address(self, watch: Watch, question: Question) -> Callable[[Answer | GivenUp], None]:
+        def heard(watch: Watch, answer: Answer | GivenUp) -> None:
+            watch.address(question, answer if isinstance(answer, Answer) else None)
+            self._maybe_end(watch)
+
+        return self._hearing(watch, heard)
+
+    def _maybe_end(self, watch: Watch) -> None:
+        if watch.complete:
+            heard = watch.ends(self._loop.clock.now())
+            self._host.whole(NAME, heard.claims, watch.name, heard.fresh_for, self.settings.keep_for)
+            self._again(watch)
+
+    def _again(self, watch: Watch) -> None:
+        if watch.due_at is not None:
+            self._set(watch.name, max(watch.due_at - self._loop.clock.now(), timedelta(0)))
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from reedmount.__main__ import LANE_SOCKETS, room_for_callers
 from reedmount.core.lifecycle import Lifecycle, Need, Phase
 from reedmount.fronts.admin import DOOR_SOCKETS, VISITORS, Door
 from reedmount.net.loop import READ
+from reedmount.node import LANE_SOCKETS, room_for_callers
 from tests.scenario import HOST
 from tests.test_config import platform
 from tests.test_platform import SETUP, STANDS, Platform
