--- a/reedmount/node.py
+++ b/reedmount/node.py
@@ -36,7 +36,7 @@
         self._loop = loop
         self.switch = Switch(loop, settings, seed)
         self._callers: Callers | None = None
-        self._door: Door | None = None
+        self.door: Door | None = None
         self._lifecycle = self.switch.lifecycle
         self._took = self._heirs_open = False
         self._reread: Callable[[], None] = lambda: None
@@ -124,8 +124,8 @@
     def open_door(self, address: Address | None, views: Mapping[str, View] | None = None) -> None:
         """Listen for operators, where the configuration says so."""
         if address is not None:
-            self._door = Door(self._loop, address, self._lifecycle, lambda: self.switch.figures, views)
-            log(f"the door is at {text_of(self._door.address)}")
+            self.door = Door(self._loop, address, self._lifecycle, lambda: self.switch.figures, views)
+            log(f"the door is at {text_of(self.door.address)}")
 
     def on_reload(self, reread: Callable[[], None]) -> None:
         """What SIGHUP does: it raises ConfigError and leaves all as it was, or takes the whole."""
--- a/reedmount/operator_file.py
+++ b/reedmount/operator_file.py
@@ -184,8 +184,12 @@
         past = Past(table.get("past_bound", str, Past.DRAIN.value))
     except ValueError:
         raise ConfigError(f"{table.path}.past_bound: of {[item.value for item in Past]} wanted") from None
+    transport = table.get("transport", str, "tcp")
+    if transport not in TRANSPORTS:
+        raise ConfigError(f"{table.path}.transport: of {TRANSPORTS} wanted, not {transport!r}")
     return PoolSettings(
         past=past,
+        transport=transport,
         start_for=table.seconds("start_s", 10.0, 0.0, 3600.0),
         gone_for=table.seconds("gone_s", 600.0, 1.0, 86_400.0),
         unranked=(table.amount("priority", int, 0, 0, 65535), table.amount("weight", int, 1, 0, 65535)),
--- a/reedmount/pool/pool.py
+++ b/reedmount/pool/pool.py
@@ -11,11 +11,12 @@
 from reedmount.core.checks import COUNTERS, invariant
 from reedmount.net.connection import text_of
 from reedmount.pool.rule import SERVES, Rule, decide
-from reedmount.pool.source import Source
+from reedmount.pool.source import Part, Source
 from reedmount.pool.words import Claim, Place, Word
 
 SERVERS_MOST = 4096
 MARKS_MOST = 4096  # of servers that are gone
+FIRST_WORD = timedelta(seconds=1)  # a list may come in several pieces
 SLICE = 64  # servers looked at between two looks at the rest of the program
 
 
@@ -61,11 +62,12 @@
     def __init__(
         self, now: datetime, sources: Sequence[str], past: Past = Past.DRAIN,
         start_for: timedelta = timedelta(seconds=10), gone_for: timedelta = timedelta(minutes=10),
-        unranked: tuple[int, int] = (0, 1),
+        unranked: tuple[int, int] = (0, 1), transport: str = "tcp",
     ) -> None:  # fmt: skip
         self.sources = {name: Source(name) for name in sources}
         self.entries: dict[Place, Entry] = {}
-        self.past, self.gone_for, self.unranked = past, gone_for, unranked
+        self.past, self.gone_for = past, gone_for
+        self.unranked, self.transport = unranked, transport  # of servers of which no source says more
         self._marks: dict[Place, datetime] = {}  # gone, and named by nobody: since when; oldest first
         self._started_until = now + start_for
         self._numbers: dict[int, Place] = {}
@@ -84,8 +86,8 @@
     ) -> Iterator[list[Change]]:
         """A complete, good answer: what it leaves out is gone. Yields each slice, leaving ones first."""
         said = self.sources[source]
-        first = self._is_first(now, said)
         said.heard(now, part, fresh_for, keep_for)
+        first = self._is_first(now, said.part(part))
         gone = said.left_out(part, [claim.place for claim in claims])
         for begin in range(0, len(gone), SLICE):
             changes: list[Change] = []
@@ -97,15 +99,13 @@
         named = _leaving_first(claims)
         for begin in range(0, len(named), SLICE):
             yield self._take(now, said, part, named[begin : begin + SLICE], first)
-        said.started = True
         yield self._past(now)
 
     def news(self, now: datetime, source: str, claims: Sequence[Claim], part: str = "") -> list[Change]:
         """Word of single servers; of the others nothing is said."""
         said = self.sources[source]
-        first = self._is_first(now, said)
         said.heard(now, part, None, None)
-        said.started = True
+        first = self._is_first(now, said.part(part))
         return self._take(now, said, part, _leaving_first(claims), first) + self._past(now)
 
     def failed(self, source: str, why: str, part: str = "") -> None:
@@ -148,9 +148,10 @@
         """What each source says of a server."""
         return {name: source.word(now, place) for name, source in self.sources.items()}
 
-    def _is_first(self, now: datetime, source: Source) -> bool:
+    def _is_first(self, now: datetime, part: Part) -> bool:
         """Whether what it names now may have served long before us: its first word, soon after our start."""
-        return not source.started and now < self._started_until
+        begun = part.first_at or now
+        return begun < self._started_until and now - begun < FIRST_WORD
 
     def _has_room(self, claim: Claim) -> bool:
         if claim.place in self.entries or len(self.entries) < SERVERS_MOST:
@@ -200,7 +201,7 @@
             return [Change(self._enter(now, naming, rule, started))]
         before = (entry.serves, entry.started, entry.transport, entry.priority, entry.weight)
         if naming is not None:
-            entry.name, entry.transport = naming.name, naming.transport
+            entry.name, entry.transport = naming.name, self._transport(place)
             entry.priority, entry.weight = self._rank(place)
         self._set(entry, rule, now)
         started = claim.started if claim is not None and claim.word is Word.SERVING else None
@@ -218,13 +219,21 @@
         )
 
     def _naming(self, place: Place) -> Claim | None:
-        """Which claim says how it is reached: that of the first source, in their order, that has it."""
+        """Which claim names it: that of the first source, in their order, that has it."""
         for source in self.sources.values():
             saying = source.naming(place)
             if saying is not None:
                 return saying.claim
         return None
 
+    def _transport(self, place: Place) -> str:
+        """How it is reached, as the first source has it that says so."""
+        for source in self.sources.values():
+            saying = source.naming(place)
+            if saying is not None and saying.claim.transport is not None:
+                return saying.claim.transport
+        return self.transport
+
     def _rank(self, place: Place) -> tuple[int, int]:
         """Its priority and weight, from the first source that ranks servers at all."""
         for source in self.sources.values():
@@ -236,7 +245,7 @@
     def _enter(self, now: datetime, claim: Claim, rule: Rule, came: datetime | None) -> Entry:
         place = claim.place
         entry = self.entries[place] = Entry(
-            place, text_of(place), self._number(place), claim.name, claim.transport,
+            place, text_of(place), self._number(place), claim.name, self._transport(place),
             *self._rank(place), rule, now, came,
         )  # fmt: skip
         self._vouched += rule in (Rule.SERVING, Rule.KEPT)
--- a/reedmount/pool/source.py
+++ b/reedmount/pool/source.py
@@ -13,7 +13,8 @@
 class Part:
     """What is whole by itself: one SRV name, or all of a list."""
 
-    heard_at: datetime | None = None  # its last good answer
+    first_at: datetime | None = None  # its first good answer
+    heard_at: datetime | None = None  # the last one
     fresh_until: datetime | None = None  # None: until the next word
     kept_until: datetime | None = None
     failures: int = 0  # since that answer
@@ -48,7 +49,6 @@
     name: str
     parts: dict[str, Part] = field(default_factory=dict)
     sayings: dict[Place, dict[str, Saying]] = field(default_factory=dict)
-    started: bool = False  # its first good answer has come
 
     def part(self, name: str) -> Part:
         """A part, new where it has not been heard of."""
@@ -59,6 +59,7 @@
     ) -> None:
         """A good answer came; ``fresh_for`` is its lifetime, ``keep_for`` the bound beyond that."""
         part = self.part(name)
+        part.first_at = part.first_at or now
         part.heard_at, part.failures, part.failure = now, 0, ""
         part.fresh_until = None if fresh_for is None else now + fresh_for
         part.kept_until = None
--- a/reedmount/pool/words.py
+++ b/reedmount/pool/words.py
@@ -30,7 +30,7 @@
     place: Place
     name: str
     word: Word = Word.SERVING  # or DRAINING or GONE; the others are a matter of time
-    transport: str = "tcp"
+    transport: str | None = None  # None where the source does not say
     started: datetime | None = None
     priority: int | None = None  # RFC 2782: the lower first; None where the source ranks none
     weight: int | None = None
--- a/reedmount/sources/host.py
+++ b/reedmount/sources/host.py
@@ -32,6 +32,7 @@
     start_for: timedelta = timedelta(seconds=10)
     gone_for: timedelta = timedelta(minutes=10)
     unranked: tuple[int, int] = (0, 1)  # priority and weight of servers that no source ranks
+    transport: str = "tcp"  # of servers of which no source says it
     bands: BandSettings = BandSettings()
 
 
@@ -44,8 +45,9 @@
         self.loop, self._switch, self.settings = loop, switch, settings
         now = loop.clock.now()
         self.pool = Pool(
-            now, sources, settings.past, settings.start_for, settings.gone_for, settings.unranked
-        )
+            now, sources, settings.past, settings.start_for, settings.gone_for, settings.unranked,
+            settings.transport,
+        )  # fmt: skip
         self.bands = Bands(settings.bands)
         self._version = 0
         self._jobs: deque[Iterator[list[Change]]] = deque()
@@ -59,7 +61,8 @@
         """Go by other settings from now on."""
         self.settings = settings
         self.pool.past, self.pool.gone_for = settings.past, settings.gone_for
-        self.pool.unranked, self.bands.settings = settings.unranked, settings.bands
+        self.pool.unranked, self.pool.transport = settings.unranked, settings.transport
+        self.bands.settings = settings.bands
         self._job(self.pool.lapse(self.loop.clock.now()))
 
     # --- from the sources ---
--- a/reedmount/sources/lists.py
+++ b/reedmount/sources/lists.py
@@ -34,7 +34,7 @@
     @staticmethod
     def _claim(entry: Listed) -> Claim:
         word = Word.GONE if entry.removed else Word.SERVING if entry.serving else Word.DRAINING
-        return Claim(entry.address, entry.server, word, entry.transport, entry.started)
+        return Claim(entry.address, entry.server, word, started=entry.started)  # it names no transport
 
 
 class ZoneSource:
--- /dev/null
+++ b/tests/test_sources.py
@@ -0,0 +1,319 @@
+"""The program with several sources of call servers, under load, while its name servers do their worst."""
+
+from __future__ import annotations
+
+import json
+import socket
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from reedmount.core.checks import COUNTERS
+from reedmount.core.lifecycle import Phase
+from reedmount.pool.rule import Rule
+from reedmount.pool.words import Word
+from standins.callserver import CallServer
+from standins.nameserver import FAULTS
+from standins.site import SRV, Site
+
+S, MS = timedelta(seconds=1), timedelta(milliseconds=1)
+
+
+def campaign(folder: Path, faults: list[str], rate: float) -> tuple[Site, float]:
+    """Under each fault in turn: one server drains by the list while another is left out by SRV, then back."""
+    more = "ttl_floor_s = 0.5\nttl_ceiling_s = 1.0\ndeadline_ms = 1000"
+    site = Site(folder, servers=6, work=100 * MS, ttl=1, more=more)
+    callers = site.callers(rate)
+    site.run(S)
+    begun = site.now
+    for turn, fault in enumerate(faults):
+        callers.start(site.now, 5 * S)
+        site.plan(fault)
+        drained, left_out = site.servers[turn % 6], site.servers[(turn + 3) % 6]
+        site.drain(drained)
+        site.publish(left_out)
+        site.run(2 * S)
+        site.plan("good")
+        site.publish()
+        site.undrain(drained)
+        site.run(3 * S)
+        while site.host.pool.sources["srv"].parts[SRV].failures:
+            callers.start(site.now, S)  # until a name server was found to be back
+            site.run(S)
+    until = site.now
+    site.run(5 * S)
+    assert callers.counts["calls"] > 0 and callers.faults() == []
+    assert site.referee.late(site.servers) == []
+    return site, callers.share(begun, until)
+
+
+def test_every_fault_under_load_keeps_the_drain_rule_and_the_service(tmp_path: Path) -> None:
+    """At 90% of what four of six servers can do: 36 calls a second, each with its one final answer."""
+    faults = [name for name in FAULTS if name != "good"]
+    site, share = campaign(tmp_path, faults, 36.0)
+    met = {fault for fault in faults if any(name.counts[f"did {fault}"] for name in site.names)}
+    assert met == set(faults)
+    assert not site.node.switch.unanswered
+    _, calm = campaign(tmp_path, ["good"] * len(faults), 36.0)
+    assert abs(calm - share) < 0.01, f"{share} of the calls stood, {calm} without faults"
+
+
+def test_srv_lists_a_server_that_the_list_calls_gone(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    callers = site.callers(20)
+    callers.start(site.now, 8 * S)
+    site.run(2 * S)
+    site.drain(site.servers[0], "DELETED")
+    site.run(8 * S)
+    assert site.referee.late(site.servers) == [] and callers.faults() == []
+    entry = site.host.pool.entries[site.servers[0].address]
+    assert entry.rule is Rule.GONE
+    assert site.host.pool.words(site.now, entry.place)["srv"] is Word.SERVING
+
+
+def test_the_list_is_silent_and_srv_drains(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    site.run(S)
+    site.board.silent = True
+    callers = site.callers(20)
+    callers.start(site.now, 10 * S)
+    site.publish(site.servers[1])
+    site.run(12 * S)
+    assert site.referee.left and site.referee.late(site.servers) == [] and callers.faults() == []
+    assert callers.share(site.now - 12 * S, site.now) > 0.98
+
+
+@pytest.mark.parametrize("outage", [30, 600])
+def test_a_resolver_that_answers_each_question_after_30_s(tmp_path: Path, outage: int) -> None:
+    """For 30 s and for 10 min: what it said last goes on, and nothing it says late is taken."""
+    site = Site(tmp_path, board=False)
+    site.run(S)
+    known = site.serving()
+    assert len(known) == 3
+    site.plan("slow", seconds=30)
+    site.publish(site.servers[0])
+    callers = site.callers(5)
+    for _ in range(outage // 30):
+        callers.start(site.now, 2 * S)
+        site.run(5 * S)
+        site.run(25 * S, 50 * MS)
+    assert site.serving() == known
+    assert {entry.rule for entry in site.host.pool.entries.values()} == {Rule.KEPT}
+    assert callers.faults() == [] and all(call.final == 200 for call in callers.calls.values())
+    assert not [asked for name in site.names for asked in name.asked[-1:] if asked.over_tcp is None]
+    site.plan("good")
+    site.run(60 * S, 50 * MS)
+    assert site.serving() == known - {site.servers[0].address}
+
+
+def test_all_name_servers_dead_at_the_start(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """It starts, says so, serves from the list, and takes what is new an hour later for cold."""
+    site = Site(tmp_path, dead=True, cold_s=14.0)
+    site.run(8 * S)
+    assert "going on with 3 call servers" in capsys.readouterr().err
+    assert site.node.switch.lifecycle.phase is Phase.READY
+    callers = site.callers(10)
+    callers.start(site.now, 3 * S)
+    site.run(6 * S)
+    assert callers.faults() == [] and callers.share(site.now - 6 * S, site.now) == 1.0
+    fresh = CallServer()
+    site.servers.append(fresh)
+    site.stands.append(fresh)
+    site.ranks[fresh.address] = (10, 10)
+    site.run(3600 * S, S)
+    site.publish()
+    for name in site.names:
+        name.revive()
+    assert site.until(lambda: len(site.serving()) == 4, 120 * S)
+    entries = site.host.pool.entries
+    assert [entries[server.address].started is None for server in site.servers] == [True] * 3 + [False]
+
+
+def test_without_any_other_source_it_starts_and_refuses_at_once_until_a_name_server_answers(
+    tmp_path: Path,
+) -> None:
+    site = Site(tmp_path, dead=True, board=False)
+    callers = site.callers(10)
+    callers.start(site.now, 2 * S)
+    site.run(6 * S)
+    assert {call.final for call in callers.calls.values()} == {503} and callers.faults() == []
+    assert not site.node.switch.lifecycle.ready
+    for name in site.names:
+        name.revive()
+    assert site.until(lambda: len(site.serving()) == 3, 30 * S)
+    assert site.node.switch.lifecycle.phase is Phase.READY
+
+
+def test_the_record_set_changes_on_every_answer(tmp_path: Path) -> None:
+    """Each server is left out by every third answer: it drains, comes back cold, and no call is lost."""
+    site = Site(tmp_path, board=False, cold_s=0.5, more="ttl_floor_s = 0.5")
+    callers = site.callers(10)
+    callers.start(site.now, 20 * S)
+    for turn in range(40):
+        site.publish(site.servers[turn % 3])
+        site.run(500 * MS)
+    site.run(5 * S)
+    assert site.referee.late(site.servers) == [] and callers.faults() == []
+    assert len(site.referee.left) == 3 and callers.share(site.now - 25 * S, site.now) > 0.95
+    assert len(site.host.pool.entries) <= 3 and len(site.host.pool._marks) <= 3
+
+
+def test_a_server_moves_between_bands_with_calls_standing(tmp_path: Path) -> None:
+    site = Site(tmp_path, board=False)
+    site.ranks[site.servers[2].address] = (20, 10)
+    site.publish()
+    site.run(3 * S)
+    first, spare = site.servers[0], site.servers[2]
+    callers = site.callers(20)
+    callers.hold = 12 * S
+    callers.start(site.now, 2 * S)
+    site.run(2 * S)
+    assert first.standing and not spare.invites, "the upper band is closed"
+    site.ranks[first.address], site.ranks[spare.address] = (30, 10), (10, 10)
+    site.publish()
+    site.run(3 * S)
+    before = len(first.invites)
+    standing = set(first.standing)
+    callers.start(site.now, 3 * S)
+    site.run(4 * S)
+    assert spare.invites and len(first.invites) == before
+    assert standing and standing <= first.standing, "its calls go on"
+    site.run(16 * S)
+    assert callers.faults() == [] and not first.standing, "and are released by their callers"
+
+
+def test_the_next_band_opens_when_the_lower_one_is_pressed_and_closes_again(tmp_path: Path) -> None:
+    site = Site(tmp_path, board=False, pool="close_s = 3.0")
+    for server in site.servers[1:]:
+        site.ranks[server.address] = (20, 10)
+    site.publish()
+    site.run(3 * S)
+    callers = site.callers(5)
+    callers.start(site.now, 3 * S)
+    site.run(3 * S)
+    assert site.host.bands.open == [10] and not site.servers[1].invites, "20 a second is what it can do"
+    callers.rate = 15
+    site.servers[0].state = "silent"
+    callers.start(site.now, 6 * S)
+    site.run(7 * S)
+    assert site.host.bands.open == [10, 20] and site.servers[1].invites
+    site.servers[0].state = "serving"
+    callers.rate = 2
+    callers.start(site.now, 10 * S)
+    site.run(12 * S)
+    assert site.host.bands.open == [10]
+    assert callers.faults() == []
+
+
+def test_a_drain_told_by_srv_1_ms_before_a_set_up_is_sent(tmp_path: Path) -> None:
+    """The module has chosen; the server side hears of the drain first and does not send."""
+    site = Site(tmp_path, servers=2, board=False)
+    site.run(S)
+    leaving = site.servers[0]
+    site.publish(leaving)
+    callers = site.callers(200)
+    assert site.until(lambda: leaving.address not in site.serving(), 5 * S)
+    told = site.now
+    callers.start(site.now, 500 * MS)
+    site.run(6 * S)
+    assert not [came for came in leaving.invites if came > told + 1 * MS]
+    assert callers.faults() == []
+
+
+def test_a_cold_server_named_by_two_sources_at_different_moments_is_paced_once(tmp_path: Path) -> None:
+    site = Site(tmp_path, servers=2, cold_s=10.0)
+    site.run(12 * S)
+    fresh = CallServer()
+    site.servers.append(fresh)
+    site.stands.append(fresh)
+    site.ranks[fresh.address] = (10, 10)
+    site.publish()
+    assert site.until(lambda: fresh.address in site.serving(), 5 * S)
+    started = site.host.pool.entries[fresh.address].started
+    site.run(4 * S)
+    site.board.say(fresh.address, "SERVING")
+    site.run(2 * S)
+    assert site.host.pool.entries[fresh.address].started == started is not None
+
+
+def test_a_reload_takes_names_and_servers_whole_or_not_at_all(tmp_path: Path) -> None:
+    site = Site(tmp_path, servers=2, board=False)
+    site.run(S)
+    text = site.file.read_text()
+    refused = COUNTERS["reload.refused"]
+    site.file.write_text(text.replace("_sip._udp", "_sip._sctp").replace("cold_s = 0.0", "cold_s = 9.0"))
+    site.node.reload()
+    site.run(S)
+    assert COUNTERS["reload.refused"] == refused + 1 and len(site.serving()) == 2
+    assert site.node.switch.settings.cold_us == 0
+    site.file.write_text(text.replace("[pool]", '[pool]\nservers = ["udp:127.0.0.1:9"]'))
+    site.node.reload()
+    site.run(S)
+    assert len(site.serving()) == 3
+    site.file.write_text(text[: text.index("[srv]")].replace(
+        "[pool]", '[pool]\nservers = ["udp:127.0.0.1:9"]') + text[text.index("[[class]]") :])  # fmt: skip
+    site.node.reload()
+    site.run(S)
+    assert site.serving() == {("127.0.0.1", 9)}
+
+
+def test_the_door_shows_which_source_said_what_and_which_rule_decided(tmp_path: Path) -> None:
+    site = Site(tmp_path, servers=2, start=False)
+    site.file.write_text(site.file.read_text() + '\n[door]\ncontrol = "127.0.0.1:0"\n')
+    site.start()
+    site.run(2 * S)
+    site.drain(site.servers[0])
+    site.run(S)
+    door = site.node.door
+    assert door is not None
+    with socket.create_connection(door.address, 5) as operator:
+        operator.sendall(b"GET /admin/pool HTTP/1.1\r\nHost: x\r\n\r\n")
+        operator.settimeout(0.05)
+        said = b""
+        for _ in range(40):
+            site.settle()
+            try:
+                said += operator.recv(65536)
+            except TimeoutError:
+                break
+    shown = json.loads(said.partition(b"\r\n\r\n")[2])
+    by_state = {row["state"]: row for row in shown["servers"]}
+    leaving = by_state["leaving"]
+    assert leaving["rule"] == "draining" and leaving["decided_by"] == ["list"]
+    assert leaving["sources"]["list"]["says"] == "draining" and leaving["sources"]["srv"]["says"] == "serving"
+    assert 0.8 <= leaving["sources"]["list"]["age_s"] <= 1.2
+    assert by_state["serving"]["rule"] == "serving" and shown["count"] == 2
+    assert shown["sources"]["srv"][0]["failures"] == 0
+
+
+def test_ipv6_call_servers_are_reached_where_the_front_listens_for_them(tmp_path: Path) -> None:
+    site = Site(tmp_path, servers=0, board=False, more="ipv6 = true", start=False)
+    site.file.write_text(site.file.read_text().replace("[sip]", '[sip]\nlisten6 = "[::1]:0"'))
+    server = CallServer(("::1", 0))
+    site.servers.append(server)
+    site.stands.append(server)
+    site.ranks[server.address] = (10, 10)
+    site.publish()
+    site.start()
+    callers = site.callers(10)
+    site.run(S)
+    callers.start(site.now, S)
+    site.run(4 * S)
+    assert server.counts["answered 200"] == callers.counts["calls"] > 0 and callers.faults() == []
+    assert server.counts["ACK"] == server.counts["BYE"] == callers.counts["calls"]
+
+
+def test_two_thousand_targets_are_learnt_in_under_a_second_and_in_slices(tmp_path: Path) -> None:
+    site = Site(tmp_path, servers=1, board=False)
+    site.run(S)
+    host = site.servers[0].address[0]
+    for name in site.names:
+        name.srv("_sip._udp.calls.example.", *((10, 1, port, "c0") for port in range(10_000, 12_000)), ttl=60)
+        name.host("c0", host)
+    begun = site.now
+    assert site.until(lambda: len(site.serving()) >= 2000, 5 * S)
+    heard = site.host.pool.sources["srv"].parts["_sip._udp.calls.example."].heard_at
+    assert heard is not None and site.now - heard < S and heard - begun < 3 * S
