--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -246,13 +246,10 @@
             del self._servers[server_id]
         if self._last_took is not None and self._last_took.id in gone:
             self._last_took = None
-        places = self._places()
+        places = {server.number for server in self._servers.values()}
         for number in [number for number in self._throughput if number not in places][:-PLACES_MOST]:
             del self._throughput[number]
 
-    def _places(self) -> set[int]:
-        return {server.number for server in self._servers.values()}
-
     def _on_entry(self, now: int, entry: i.ServerEntry) -> None:
         server = known = self._servers.get(entry.server)
         if server is None:
@@ -533,6 +530,8 @@
         that loses one answer in ten would stay barred until its lost callers give up.
         """
         for server in self._servers.values():
+            if not (server.unanswered or server.hung or server.flagged):
+                continue
             late = [key for key, sent in server.unanswered.items() if now - sent > self._high_us]
             for key in late:
                 server.hung[key] = server.unanswered.pop(key)
@@ -663,13 +662,13 @@
 
     def _serve_held(self, now: int) -> None:
         """Send what can be sent, the most valuable first; none before its release is over or while barred."""
+        if not self._held:
+            return
         open_servers = [server for server in self._servers.values() if self._open(now, server)]
         if not open_servers:
             return
         warm = [server for server in open_servers if not self._is_cold(now, server)] or open_servers
         self._expected_us = min(max(server.gauge_us, self._quickest_us) for server in warm)
-        if not self._held:
-            return
         barred = self._busy_until
         held = [
             call
--- a/reedmount/dns/answers.py
+++ b/reedmount/dns/answers.py
@@ -7,13 +7,8 @@
 
 import dns.rcode
 import dns.rdatatype
-import dns.rdtypes.ANY.CNAME
-import dns.rdtypes.ANY.SOA
-import dns.rdtypes.IN.A
-import dns.rdtypes.IN.AAAA
-import dns.rdtypes.IN.SRV
 
-from reedmount.dns.reader import Question, Record, Reply
+from reedmount.dns.reader import Question, Record, Reply, Target
 
 CHAIN_MOST = 8  # CNAMEs from the name asked for to one that has the records
 ADDRESS_TYPES = (dns.rdatatype.A, dns.rdatatype.AAAA)
@@ -42,16 +37,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Target:
-    """One SRV record (RFC 2782)."""
-
-    priority: int
-    weight: int
-    port: int
-    host: str  # "." where the service is decidedly not there
-
-
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A complete, good answer; without records it says that there are none (RFC 2308)."""
@@ -86,9 +71,9 @@
     name, ttl, way = question.name, 2**31 - 1, [*passed, question.name]
     while name in aliases:
         record = aliases[name]
-        if not isinstance(record.data, dns.rdtypes.ANY.CNAME.CNAME):
+        if not isinstance(record.data, str):
             return Fault.UNREADABLE
-        name, ttl = record.data.target.to_text().lower(), min(ttl, record.ttl)
+        name, ttl = record.data, min(ttl, record.ttl)
         if name in way or len(way) > CHAIN_MOST:
             return Fault.CHAIN
         way.append(name)
@@ -106,18 +91,12 @@
 
 
 def _targets(records: list[Record]) -> tuple[Target, ...]:
-    found = {
-        Target(data.priority, data.weight, data.port, data.target.to_text().lower())
-        for record in records
-        if isinstance(data := record.data, dns.rdtypes.IN.SRV.SRV)
-    }
-    return tuple(sorted(found))
+    """In an order of their own, so that a name server that turns them round changes nothing."""
+    return tuple(sorted({record.data for record in records if isinstance(record.data, Target)}))
 
 
 def _addresses(records: list[Record]) -> tuple[str, ...]:
-    """In an order of their own, so that a name server that turns them round changes nothing."""
-    kinds = (dns.rdtypes.IN.A.A, dns.rdtypes.IN.AAAA.AAAA)
-    return tuple(sorted({record.data.address for record in records if isinstance(record.data, kinds)}))
+    return tuple(sorted({record.data for record in records if isinstance(record.data, str)}))
 
 
 def _extra(reply: Reply, targets: tuple[Target, ...]) -> dict[Question, Answer]:
@@ -137,9 +116,8 @@
 def _soa(reply: Reply, name: str) -> int | None:
     """How long a negative answer holds, where the zone that gives it says so (RFC 2308, section 5)."""
     for record in reply.authority:
-        data = record.data
-        if isinstance(data, dns.rdtypes.ANY.SOA.SOA) and _within(name, record.name):
-            return min(record.ttl, int(data.minimum))
+        if isinstance(record.data, int) and _within(name, record.name):
+            return min(record.ttl, record.data)
     return None
 
 
--- a/reedmount/dns/reader.py
+++ b/reedmount/dns/reader.py
@@ -6,31 +6,22 @@
 
 from __future__ import annotations
 
+import socket
 import struct
 from collections.abc import Generator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import dns.exception
 import dns.flags
 import dns.name
-import dns.rcode
-import dns.rdata
 import dns.rdataclass
 import dns.rdatatype
 import dns.wire
 
 RECORDS_MOST = 4000
-SLICE = 48  # records between two looks at the rest of the program
+SLICE = 24  # records between two looks at the rest of the program
 HEADER = struct.Struct("!HHHHHH")
-WANTED = frozenset(
-    (
-        dns.rdatatype.A,
-        dns.rdatatype.AAAA,
-        dns.rdatatype.SRV,
-        dns.rdatatype.CNAME,
-        dns.rdatatype.SOA,
-    )
-)
 TOP_BIT = 1 << 31
 
 
@@ -38,8 +29,7 @@
     """Bytes that are no DNS message, or one beyond the bounds."""
 
 
-@dataclass(frozen=True, slots=True)
-class Question:
+class Question(NamedTuple):
     """A name, in lower case with its last dot, and the type asked for."""
 
     name: str
@@ -50,14 +40,25 @@
         return f"{self.name} {dns.rdatatype.to_text(self.rdtype)}"
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
-    """One record; ``data`` is None for types that nobody here asks for."""
+class Target(NamedTuple):
+    """One SRV record (RFC 2782). In this order they sort."""
+
+    priority: int
+    host: str  # "." where the service is decidedly not there
+    port: int
+    weight: int
+
+
+class Record(NamedTuple):
+    """One record; ``data`` is None for types that nobody here asks for.
+
+    A and AAAA: the address. CNAME: the name. SOA: the minimum (s), which bounds negative answers.
+    """
 
     name: str
     rdtype: int
     ttl: int
-    data: dns.rdata.Rdata | None
+    data: Target | str | int | None
 
 
 @dataclass(slots=True)
@@ -78,6 +79,17 @@
         return bool(self.flags & dns.flags.TC)
 
 
+def query(number: int, question: Question, payload: int | None) -> bytes:
+    """A question as it goes out, with an OPT record (RFC 6891) where a payload is named."""
+    flags = dns.flags.RD
+    wire = HEADER.pack(number, flags, 1, 0, 0, 0 if payload is None else 1)
+    wire += dns.name.from_text(question.name).to_wire() or b""
+    wire += struct.pack("!HH", question.rdtype, dns.rdataclass.IN)
+    if payload is not None:
+        wire += b"\0" + struct.pack("!HHIH", dns.rdatatype.OPT, payload, 0, 0)
+    return wire
+
+
 def name_of(name: dns.name.Name) -> str:
     """A name as it is compared here."""
     return name.to_text().lower()
@@ -134,12 +146,28 @@
 def _record(parser: dns.wire.Parser) -> Record:
     name = parser.get_name()
     rdtype, rdclass, ttl, length = parser.get_struct("!HHIH")
-    data = None
     with parser.restrict_to(length):
-        if rdtype in WANTED and rdclass == dns.rdataclass.IN:
-            data = dns.rdata.from_wire_parser(rdclass, rdtype, parser)
-        else:
+        data = _data(parser, rdtype) if rdclass == dns.rdataclass.IN else None
+        if data is None:
             parser.get_remaining()
     if rdtype != dns.rdatatype.OPT and ttl & TOP_BIT:
         ttl = 0  # RFC 2181, section 8
     return Record(name_of(name), rdtype, ttl, data)
+
+
+def _data(parser: dns.wire.Parser, rdtype: int) -> Target | str | int | None:
+    """The fields that are looked at here; what is left over in a record makes it unreadable."""
+    if rdtype == dns.rdatatype.SRV:
+        priority, weight, port = parser.get_struct("!HHH")
+        return Target(priority, name_of(parser.get_name()), port, weight)
+    if rdtype == dns.rdatatype.A:
+        return socket.inet_ntop(socket.AF_INET, parser.get_bytes(4))
+    if rdtype == dns.rdatatype.AAAA:
+        return socket.inet_ntop(socket.AF_INET6, parser.get_bytes(16))
+    if rdtype == dns.rdatatype.CNAME:
+        return name_of(parser.get_name())
+    if rdtype == dns.rdatatype.SOA:
+        parser.get_name()
+        parser.get_name()
+        return int(parser.get_struct("!IIIII")[4])
+    return None
--- a/reedmount/dns/resolver.py
+++ b/reedmount/dns/resolver.py
@@ -9,21 +9,21 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-import dns.message
-
 from reedmount.core.checks import COUNTERS
 from reedmount.dns.answers import Answer, Fault, Onwards, meaning
 from reedmount.dns.asking import Asking, GivenUp, Over, Patience, Pause, Try
 from reedmount.dns.cache import Bounds, Cache
 from reedmount.dns.health import NameServers
-from reedmount.dns.reader import Question, ReadError, Reply, head, read
+from reedmount.dns.reader import Question, ReadError, Reply, head, query, read
 from reedmount.net.connection import Address, Connection, End, family_of
 from reedmount.net.loop import READ, Loop, Timer
 
 PAYLOAD = 1232  # bytes of a datagram that no path has to split
 LONGEST = 65535
-FLIGHTS_MOST = 64
+FLIGHTS_MOST = 8  # what comes in one turn has to be read in it
+STARTS_MOST = 4  # in a turn: to build a question and open its socket takes some 0.2 ms
 WAITING_MOST = 8192
+LARGE = 128  # records: what they mean is looked at in a turn of its own
 BETWEEN_SLICES = timedelta(milliseconds=1)
 DATAGRAMS_MOST = 8  # read from one socket in a turn: a flood waits its turn like all others
 Done = Callable[[Answer | GivenUp], None]
@@ -48,6 +48,7 @@
         self._flights: dict[Question, Flight] = {}
         self._waiting: dict[Question, list[Done]] = {}
         self._queue: deque[Question] = deque()
+        self._starting = False
 
     def settle(self, settings: ResolverSettings) -> None:
         """Go by other settings; questions that are out go on as they were begun."""
@@ -103,11 +104,21 @@
         self._start_some()
 
     def _start_some(self) -> None:
-        while self._queue and len(self._flights) < FLIGHTS_MOST:
+        """As many as there is room for, a few in each turn."""
+        for _ in range(STARTS_MOST):
+            if not self._queue or len(self._flights) >= FLIGHTS_MOST:
+                return
             question = self._queue.popleft()
             flight = self._flights[question] = Flight(self, question)
             COUNTERS.add("dns.asked")
             flight.go_on()
+        if self._queue and not self._starting:
+            self._starting = True
+            self.loop.after(BETWEEN_SLICES, self._start_more)
+
+    def _start_more(self) -> None:
+        self._starting = False
+        self._start_some()
 
 
 class Flight:
@@ -152,11 +163,7 @@
     def _send(self, step: Try) -> None:
         self._try = step
         self._timer = self._loop.after(step.wait, lambda: self._fault(Fault.LOST))
-        message = dns.message.make_query(
-            self._question.name, self._question.rdtype, use_edns=0 if step.edns else False, payload=PAYLOAD
-        )
-        message.id = step.id
-        wire = message.to_wire()
+        wire = query(step.id, self._question, PAYLOAD if step.edns else None)
         COUNTERS.add(f"dns.sent.{step.over.value}")
         if step.over is Over.TCP:
             self._stream.clear()
@@ -243,7 +250,11 @@
             try:
                 next(reading)
             except StopIteration as end:
-                self._meant(end.value)
+                reply: Reply = end.value
+                if len(reply.answer) < LARGE:
+                    self._meant(reply)
+                else:
+                    self._timer = self._loop.after(BETWEEN_SLICES, lambda: self._meant(reply))
             except ReadError:
                 self._fault(Fault.UNREADABLE)
             else:
--- a/reedmount/dns/watch.py
+++ b/reedmount/dns/watch.py
@@ -7,17 +7,19 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Generator
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
 import dns.rdatatype
 
 from reedmount.core.checks import COUNTERS
-from reedmount.dns.answers import Answer, Target
+from reedmount.dns.answers import Answer
 from reedmount.dns.cache import Bounds
-from reedmount.dns.reader import Question
+from reedmount.dns.reader import Question, Target
 from reedmount.pool.words import Claim, Place
 
+SLICE = 128  # targets between two looks at the rest of the program
 AHEAD = 0.9  # of a lifetime: then it is asked again, so that it need not lapse
 JITTER = 0.1  # of it earlier at most, lest all that started together ask together
 A, AAAA, SRV = dns.rdatatype.A, dns.rdatatype.AAAA, dns.rdatatype.SRV
@@ -85,17 +87,16 @@
         hosts = dict.fromkeys(target.host for target in answer.targets if target.host != ".")
         return [Question(host, kind) for host in hosts for kind in kinds]
 
-    def heard(self, now: datetime, answer: Answer, kept: dict[Question, Answer]) -> list[Question]:
-        """The records of the name; returns the addresses to ask for. ``kept`` are those still known."""
+    def heard(self, now: datetime, answer: Answer) -> list[Question]:
+        """The records of the name; returns the addresses that did not come along."""
         self._targets = tuple(target for target in answer.targets if target.host != ".")
         self._ttl = self.bounds.lifetime(answer.ttl)
         wanted = self.addresses(answer)
-        for question in wanted:
-            known = answer.extra.get(question) or kept.get(question)
-            if known is not None:
-                self._found[question] = known
-        self._asked = {question for question in wanted if question not in self._found}
-        return sorted(self._asked, key=lambda question: (question.name, question.rdtype))
+        extra = answer.extra
+        self._found = {question: extra[question] for question in wanted if question in extra}
+        missing = [question for question in wanted if question not in extra]
+        self._asked = set(missing)
+        return missing
 
     def address(self, question: Question, answer: Answer | None) -> None:
         """An address came, or None where it could not be learnt."""
@@ -108,12 +109,14 @@
         """Whether nothing is out any more."""
         return self.due_at is None and not self._asked
 
-    def ends(self, now: datetime) -> Heard:
-        """All is there, or as far as it could be learnt: what the name says."""
+    def ends(self, now: datetime) -> Generator[None, None, Heard]:
+        """All is there, or as far as it could be learnt: what the name says. Yields after each slice."""
         claims: list[Claim] = []
         last: dict[Target, Place] = {}
         lifetimes = [self._ttl]
-        for target in self._targets:
+        for done, target in enumerate(self._targets, 1):
+            if done % SLICE == 0:
+                yield
             host, unknown = self._host(target, lifetimes)
             if host is None and unknown and target in self._last:
                 # Its address could not be learnt: that is no word against the server.
--- a/reedmount/pool/pool.py
+++ b/reedmount/pool/pool.py
@@ -17,7 +17,7 @@
 SERVERS_MOST = 4096
 MARKS_MOST = 4096  # of servers that are gone
 FIRST_WORD = timedelta(seconds=1)  # a list may come in several pieces
-SLICE = 64  # servers looked at between two looks at the rest of the program
+SLICE = 16  # servers looked at between two looks at the rest of the program
 
 
 class Past(Enum):
--- a/reedmount/sources/host.py
+++ b/reedmount/sources/host.py
@@ -19,7 +19,6 @@
 from reedmount.pool.words import Claim, Word
 
 BETWEEN_SLICES = timedelta(milliseconds=1)
-SLICES_A_TURN = 3
 PAGE = 100  # servers in one answer of the door
 NOT_REACHED = frozenset((i.Outcome.UNREACHABLE, i.Outcome.TIMED_OUT, i.Outcome.RESET))
 
@@ -161,16 +160,13 @@
             self._work()
 
     def _work(self) -> None:
-        """Some slices; the next ones in a later turn, so that calls are not kept waiting."""
-        for _ in range(SLICES_A_TURN):
-            if not self._jobs:
-                break
-            changes = next(self._jobs[0], None)
-            if changes is None:
-                self._jobs.popleft()
-                self._watch_time()
-            else:
-                self._tell(changes)
+        """One slice; the next one in a later turn, so that calls are not kept waiting."""
+        changes = next(self._jobs[0], None)
+        if changes is None:
+            self._jobs.popleft()
+            self._watch_time()
+        else:
+            self._tell(changes)
         self._working = bool(self._jobs)
         if self._jobs:
             self.loop.after(BETWEEN_SLICES, self._work)
--- a/reedmount/sources/srv.py
+++ b/reedmount/sources/srv.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Generator, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -11,12 +11,13 @@
 from reedmount.dns.answers import Answer
 from reedmount.dns.asking import GivenUp
 from reedmount.dns.reader import Question
-from reedmount.dns.resolver import Resolver, ResolverSettings
-from reedmount.dns.watch import Retry, Watch
+from reedmount.dns.resolver import BETWEEN_SLICES, Resolver, ResolverSettings
+from reedmount.dns.watch import Heard, Retry, Watch
 from reedmount.net.loop import Loop, Timer
 from reedmount.sources.host import PoolHost
 
 NAME = "srv"
+ASKED_A_TURN = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,13 +122,25 @@
         if watch.name in self._silent:
             self._silent.discard(watch.name)
             log(f"{watch.name}: answered again", "srv.answered_again")
-        kept = {
-            question: found.answer
-            for question in watch.addresses(answer)
-            if (found := self.resolver.cache.get(now, question)) is not None
-        }
-        for question in watch.heard(now, answer, kept):
-            self.resolver.ask(question, self._address(watch, question))
+        wanted = watch.heard(now, answer)
+        if len(wanted) < ASKED_A_TURN:
+            self._ask_some(watch, wanted, 0)
+        else:
+            self._loop.after(BETWEEN_SLICES, lambda: self._ask_some(watch, wanted, 0))
+
+    def _ask_some(self, watch: Watch, wanted: Sequence[Question], begin: int) -> None:
+        """Ask for addresses, some in each turn; those that are still known come from the cache."""
+        if self._watches.get(watch.name) is not watch:
+            return
+        now = self._loop.clock.now()
+        for question in wanted[begin : begin + ASKED_A_TURN]:
+            kept = self.resolver.cache.get(now, question)
+            if kept is not None:
+                watch.address(question, kept.answer)
+            else:
+                self.resolver.ask(question, self._address(watch, question))
+        if begin + ASKED_A_TURN < len(wanted):
+            self._loop.after(BETWEEN_SLICES, lambda: self._ask_some(watch, wanted, begin + ASKED_A_TURN))
         self._maybe_end(watch)
 
     def _address(self, watch: Watch, question: Question) -> Callable[[Answer | GivenUp], None]:
@@ -139,9 +152,20 @@
 
     def _maybe_end(self, watch: Watch) -> None:
         if watch.complete:
-            heard = watch.ends(self._loop.clock.now())
+            self._end(watch, watch.ends(self._loop.clock.now()))
+
+    def _end(self, watch: Watch, ending: Generator[None, None, Heard]) -> None:
+        """Put together what the name says, a slice in each turn."""
+        if self._watches.get(watch.name) is not watch:
+            return
+        try:
+            next(ending)
+        except StopIteration as end:
+            heard = end.value
             self._host.whole(NAME, heard.claims, watch.name, heard.fresh_for, self.settings.keep_for)
             self._again(watch)
+        else:
+            self._loop.after(BETWEEN_SLICES, lambda: self._end(watch, ending))
 
     def _again(self, watch: Watch) -> None:
         if watch.due_at is not None:
--- a/standins/nameserver.py
+++ b/standins/nameserver.py
@@ -211,13 +211,12 @@
 
     def wire(self, asked: Asked, reply: dns.message.Message) -> bytes:
         """As it goes over the net: what is too long for a datagram is cut."""
-        if asked.over_tcp:
-            return reply.to_wire(max_size=65535)
+        most = 65535 if asked.over_tcp else asked.size
         for spare in (False, True):
             if spare:
                 reply.additional.clear()
             try:
-                return reply.to_wire(max_size=asked.size)
+                return reply.to_wire(max_size=most)
             except dns.exception.TooBig:
                 continue
         return truncated(asked)
