--- a/benchmarks/sources.py
+++ b/benchmarks/sources.py
@@ -21,6 +21,7 @@
 import tracemalloc
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -170,6 +171,11 @@
         """Real time needs none."""
 
 
+def learnt(site: Site, count: int) -> bool:
+    """Whether so many servers may be called."""
+    return len(site.serving()) >= count
+
+
 def apart(name: NameServer) -> int:
     """Let a name server go on in a process of its own; its number."""
     child = os.fork()
@@ -188,14 +194,14 @@
     print("| targets | hosts | learnt in | longest turn | its longest piece | turns over 5 ms "
           "| longest piece of learning |")  # fmt: skip
     print("| --- | --- | --- | --- | --- | --- | --- |")
-    for count, hosts in ((30, 30), (300, 1), (300, 300), (count, 1), (count, count)):
+    for wanted, hosts in ((30, 30), (300, 1), (300, 300), (count, 1), (count, count)):
         with tempfile.TemporaryDirectory() as folder:
             site = RealSite(Path(folder), servers=1, board=False, name_servers=1)
             site.go(S)
             callers = site.callers(20)
             callers.start(site.now, 4 * S)
             name = site.names[0]
-            rows = [(10, 1, 5000 + n // hosts, f"h{n % hosts}") for n in range(count)]
+            rows = [(10, 1, 5000 + n // hosts, f"h{n % hosts}") for n in range(wanted)]
             name.srv(SRV, *rows, ttl=60)
             for number in range(hosts):
                 name.host(f"h{number}", f"127.1.{number // 256}.{number % 256}", ttl=60)
@@ -208,12 +214,12 @@
             gc.set_threshold(GC_AFTER)
             site.turns.spent.clear()
             site.turns.learning = 0.0
-            took = site.go(10 * S, lambda site=site: len(site.serving()) >= count)  # type: ignore[misc]
+            took = site.go(10 * S, partial(learnt, site, wanted))
             os.kill(child, signal.SIGKILL)
             os.waitpid(child, 0)
             worst, piece = site.turns.worst()
             over = sum(spent * 1000 > LATE_MS for spent, _ in site.turns.spent)
-            print(f"| {count} | {hosts} | {took:.2f} s | {worst:.1f} ms | {piece} | {over} of "
+            print(f"| {wanted} | {hosts} | {took:.2f} s | {worst:.1f} ms | {piece} | {over} of "
                   f"{len(site.turns.spent)} | {site.turns.learning * 1000:.1f} ms |", flush=True)  # fmt: skip
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -151,10 +151,67 @@
     ],
 )
 def test_a_fault_of_the_operator_s_file_is_named(tmp_path: Path, old: str, new: str, fault: str) -> None:
-    text = (ROOT / "deploy" / "sip.toml").read_text()
+    refused(tmp_path, "sip.toml", old, new, fault)
+
+
+def refused(folder: Path, name: str, old: str, new: str, fault: str) -> None:
+    text = (ROOT / "deploy" / name).read_text()
     assert old in text
-    path = tmp_path / "sip.toml"
+    path = folder / name
     path.write_text(text.replace(old, new, 1))
     with pytest.raises(ConfigError) as caught:
         read_operator(path)
     assert fault in str(caught.value)
+
+
+def test_the_shipped_file_with_srv_records_is_read_and_shows_the_defaults(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "srv.toml").read_text()
+    read = read_operator(ROOT / "deploy" / "srv.toml")
+    assert read.srv is not None and read.zone is None
+    assert read.srv.names == (("_sip._udp.calls.example.", "udp"), ("_sip._tcp.calls.example.", "tcp"))
+    assert [(claim.place, claim.transport) for claim in read.fixed] == [(("127.0.0.2", 5070), "udp")]
+    bare = [line for line in text.splitlines()
+            if not line.partition(" =")[0].endswith(("_s", "_ms", "_bound", "_kib", "_entries", "ipv6"))
+            or line.startswith(("aim", "give"))]  # fmt: skip
+    (tmp_path / "bare.toml").write_text("\n".join(bare))
+    other = read_operator(tmp_path / "bare.toml")
+    assert len(bare) < len(text.splitlines()) - 15 and (other.srv, other.pool) == (read.srv, read.pool)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "fault"),
+    [
+        ('names = ["_sip._udp.calls.example."', "names = [3", "srv.names: strings wanted"),
+        ('"_sip._udp.calls.example."', '"calls.example."', "srv.names: 'calls.example.' is not of the form"),
+        ('"_sip._udp.calls.example."', '"_sip._sctp.calls.example."', "srv.names"),
+        ('"_sip._udp.calls.example."', '"_sip._udp..example."', "'_sip._udp..example.': EmptyLabel"),
+        ('name_servers = ["127.0.0.1:5300"]', "", "srv.name_servers is missing"),
+        ('"127.0.0.1:5300"', '"ns.example:53"', "srv.name_servers: 'ns.example'"),
+        ('"127.0.0.1:5300"', '"127.0.0.1:0"', "srv.name_servers: port 0"),
+        ('"127.0.0.1:5300"', '"::1:53"', "srv.name_servers: an IPv6 address without brackets"),
+        ("ttl_floor_s = 1.0", "ttl_floor_s = 1000.0", "srv.ttl_floor_s: above ttl_ceiling_s"),
+        ("stale_s = 86400.0", "stale_s = -1.0", "srv.stale_s: -1.0 is not within"),
+        ("deadline_ms = 5000", "deadline_ms = 5", "srv.deadline_ms: 5 is not within"),
+        ("retry_ms = 2000", 'retry_ms = "2"', "srv.retry_ms: int wanted"),
+        ("ipv6 = false", "ipv6 = true", "srv.ipv6 needs sip.listen6"),
+        ("# listen6 = ", 'listen6 = "127.0.0.1:1" # ', "sip.listen6: not an IPv6 address"),
+        ('past_bound = "drain"', 'past_bound = "keep"', "pool.past_bound: of ['drain', 'last-resort']"),
+        ("udp:127.0.0.2:5070", "sctp:127.0.0.2:5070", "pool.servers"),
+        ("udp:127.0.0.2:5070", "udp:zurich:5070", "pool.servers: 'zurich'"),
+        ('transport = "tcp"', 'transport = "tls"', "pool.transport"),
+        ("priority = 0", "priority = 70000", "pool.priority: 70000 is not within"),
+        ("press_ms = 50", "pres_ms = 50", "pool.pres_ms is not known"),
+        ("# board = ", 'board = "board:1" # ', "pool.board"),
+        ("cache_kib = 8192", "cache_kib = 1", "srv.cache_kib"),
+    ],
+)
+def test_a_fault_of_pool_and_srv_is_named(tmp_path: Path, old: str, new: str, fault: str) -> None:
+    refused(tmp_path, "srv.toml", old, new, fault)
+
+
+def test_a_file_without_any_source_of_call_servers_is_refused(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "srv.toml").read_text()
+    text = text[: text.index("[srv]")] + text[text.index("[[class]]") :]
+    (tmp_path / "none.toml").write_text(text.replace('servers = ["udp:127.0.0.2:5070"]', ""))
+    with pytest.raises(ConfigError, match="no source of call servers"):
+        read_operator(tmp_path / "none.toml")
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -151,3 +151,51 @@
     module = deploy[key].rpartition("-m ")[2].replace(".", "/")
     assert (ROOT / f"{module}.py").is_file() or (ROOT / module / "__main__.py").is_file()
     assert all((ROOT / path).exists() for path in [*deploy["node"], *deploy["policy"]])
+
+
+def test_the_platform_s_process_imports_nothing_of_the_new_parts_or_their_libraries() -> None:
+    """32 MB there: what operators need is imported only where their file is read."""
+    code = "import sys, reedmount.__main__; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    loaded = done.stdout.split()
+    new = ("dns", "scipy", "numpy", "click", "standins", "reedmount.dns", "reedmount.pool",
+           "reedmount.sources", "reedmount.operate", "reedmount.operator_file",
+           "reedmount.fronts.sip")  # fmt: skip
+    assert not [name for name in loaded if name in new or name.startswith(tuple(f"{item}." for item in new))]
+    assert "reedmount.fronts.platform" in loaded
+
+
+def free_port(kind: socket.SocketKind, host: str) -> int:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+def test_the_shipped_srv_installation_completes_calls_against_the_stand_ins(tmp_path: Path) -> None:
+    """As the README has it: name server and call servers, the program, callers; at ports that are free."""
+    text = (ROOT / "deploy" / "srv.toml").read_text()
+    zone = (ROOT / "deploy" / "srv.zone").read_text()
+    names, sip = free_port(socket.SOCK_DGRAM, HOST), free_port(socket.SOCK_DGRAM, HOST)
+    server = free_port(socket.SOCK_DGRAM, "127.0.0.2")
+    text = text.replace("127.0.0.1:5300", f"{HOST}:{names}").replace("127.0.0.1:5060", f"{HOST}:{sip}")
+    text = text.replace("5070", str(server)).replace("127.0.0.1:8060", f"{HOST}:0")
+    (tmp_path / "srv.toml").write_text(text)
+    (tmp_path / "srv.zone").write_text(zone.replace("5070", str(server)).replace("5071", str(server)))
+    words = [sys.executable, "-m", "standins"]
+    town = subprocess.Popen(
+        [*words, "town", str(tmp_path / "srv.zone"), "--listen", f"{HOST}:{names}"],
+        cwd=ROOT, stdout=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    try:
+        assert town.stdout is not None and "name server at" in town.stdout.readline()
+        with started("--operator", str(tmp_path / "srv.toml")) as process:
+            assert "the door is at" in line(process) and "SIP served at" in line(process)
+            done = subprocess.run(
+                [*words, "call", f"{HOST}:{sip}", "--rate", "20", "--seconds", "1", "--hold", "0.3"],
+                cwd=ROOT, capture_output=True, text=True, timeout=60,
+            )  # fmt: skip
+        assert done.returncode == 0 and "calls: {'200':" in done.stdout, done.stdout + done.stderr
+    finally:
+        town.terminate()
+        said, _ = town.communicate(timeout=20)
+    assert f"udp:127.0.0.3:{server} {{'INVITE':" in said, "a server that only SRV names was called"
