Remember which name servers lose datagrams, and ask those over TCP first

Cause: where no datagram got through, each question lost two before TCP was tried; with one of two name servers resting a question with a short deadline was given up (traced: 0.4 s, a pause, 0.66 s, deadline).

Change: datagrams lost in a row are kept by name server; after two its questions begin over TCP, one in sixteen over UDP, so that it is found when they get through again.

--- a/reedmount/dns/asking.py
+++ b/reedmount/dns/asking.py
@@ -12,7 +12,8 @@
 from reedmount.dns.health import NameServers
 from reedmount.net.connection import Address
 
-TCP_AFTER = 2  # datagrams of this question lost
+TCP_AFTER = 2  # datagrams lost
+UDP_AGAIN = 1 / 16  # of the questions to a name server whose datagrams were lost
 
 
 class Over(Enum):
@@ -116,13 +117,19 @@
             self.health.failed(now, tried.server, fault.value)
             if fault is Fault.LOST and tried.over is Over.UDP:
                 self._lost[tried.server] = self._lost.get(tried.server, 0) + 1
+                self.health.datagram(tried.server, lost=True)
 
     def answered(self, now: datetime, tried: Try) -> None:
         """A try brought an answer that counts."""
+        if tried.over is Over.UDP:
+            self.health.datagram(tried.server, lost=False)
         self.health.answered(tried.server, now - tried.began)
 
     def _way(self, server: Address) -> Over:
-        """TCP where datagrams get lost: at a server that lost one of this question's, after two in all."""
+        """TCP where datagrams get lost: of this question's, or before it with this name server."""
+        known = self.health.all.get(server)
+        if known is not None and known.datagrams_lost >= TCP_AFTER and not self._lost.get(server):
+            return Over.UDP if self.chance.random() < UDP_AGAIN else Over.TCP
         repeated = sum(self._lost.values()) >= TCP_AFTER
         return Over.TCP if repeated and self._lost.get(server) else Over.UDP
 
--- a/reedmount/dns/health.py
+++ b/reedmount/dns/health.py
@@ -25,6 +25,7 @@
     failures: int = 0  # in a row
     rest_until: datetime | None = None
     answers: int = 0
+    datagrams_lost: int = 0  # in a row, of whatever questions
     last_fault: str = ""
 
     @property
@@ -76,6 +77,12 @@
         server.taken_s += SMOOTHING * (taken.total_seconds() - server.taken_s)
         server.answers += 1
 
+    def datagram(self, address: Address, lost: bool) -> None:
+        """Whether datagrams get through to it and back."""
+        server = self.all.get(address)
+        if server is not None:
+            server.datagrams_lost = server.datagrams_lost + 1 if lost else 0
+
     def failed(self, now: datetime, address: Address, why: str) -> None:
         """It brought nothing."""
         server = self.all.get(address)
