Contain what goes wrong in serving one SIP message where that message's state ends

Cause: an exception in a handler was caught round a piece of the loop's work, or ended a debug build. Nobody there knows what the message owns: its transaction stayed for good, its sender got no answer, a server's 200 that could not be served left the call standing at the server.

Broken invariants of debug builds cross it.

--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -241,6 +241,15 @@
             unsupported = [("Unsupported", message.get("Require") or "")] if error.status == 420 else []
             transaction.respond(response(message, error.status, unsupported, tag=self.token()))
 
+    def gave_up(self, transaction: ServerTransaction) -> None:
+        """Serving a request went wrong: its call is given up, and its client hears 500."""
+        leg = next((leg for leg in self.names.values() if leg.transaction is transaction), None)
+        if leg is not None and leg.open:
+            self.switch.caller_gone(leg.name)
+            self.forget(leg)
+        if transaction.state in (State.TRYING, State.PROCEEDING):
+            transaction.respond(response(transaction.request, 500, tag=self.token()))
+
     def acknowledged(self, message: Message) -> None:
         """The ACK of a 200."""
         leg = self.legs.get(dialogs.key_of(message))
@@ -424,6 +433,8 @@
 
     def _answered(self, message: Message | None) -> None:
         if message is None:
+            if self.dialog is not None and not self.ended:
+                self.release(CUT)  # its 200 could not be served: the server must not hold the call
             self.end(i.Outcome.RESET if self.hop is not None and self.hop.reliable else i.Outcome.TIMED_OUT)
         elif message.status < 200:
             if self._wanted is not None:
@@ -452,9 +463,10 @@
         self.timer.cancel()
         front.server_legs[self.dialog.key] = self
         if not self.ended:
+            stands = front.switch.stands(name, self.setup.attempt, message.body)
             self.ended = True
             self.peer.legs.pop(name, None)
-            if front.switch.stands(name, self.setup.attempt, message.body):
+            if stands:
                 self.peer.standing[name] = self
                 return
         COUNTERS.add("server.late_answers")
--- a/reedmount/sip/endpoint.py
+++ b/reedmount/sip/endpoint.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from reedmount.core.border import contained
 from reedmount.core.checks import COUNTERS, log
 from reedmount.net.connection import Address, Connection, End, both, text_of
 from reedmount.net.loop import READ, Actor, Loop
@@ -101,6 +102,16 @@
             if self.on_lost is not None:
                 self.on_lost(item)
             return
+        contained("sip.stream", self._read, self._spoilt)
+
+    def _spoilt(self) -> None:
+        """Reading has gone wrong: where the next message begins is not known."""
+        self.connection.close()
+        self._endpoint.lost(self, End.OURS)
+        if self.on_lost is not None:
+            self.on_lost(End.RESET)
+
+    def _read(self) -> None:
         while not self.connection.ended:
             ring = self.connection.incoming
             try:
@@ -234,7 +245,9 @@
             self._datagrams.post((data, address[:2]))
 
     def _datagram(self, item: tuple[bytes, Address]) -> None:
-        data, address = item
+        contained("sip.datagram", lambda: self._datagram_read(*item))
+
+    def _datagram_read(self, data: bytes, address: Address) -> None:
         if not data.strip(b"\r\n\0"):
             return  # a keep-alive
         try:
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
+from reedmount.core.border import contained
 from reedmount.core.checks import COUNTERS
 from reedmount.net.loop import Loop, Timer
 from reedmount.sip.message import Message, SipError, first_value, parameter, request, response
@@ -212,6 +213,11 @@
             self._stop()
             self._after(self._layer.timers.longest, self._time_out)
 
+    def abandon(self) -> None:
+        """Its answer could not be served: its user hears that there is none."""
+        self.end()
+        self._on_answer(None)
+
     def lost(self) -> None:
         """The connection it went out on is gone."""
         if self.state in (State.TRYING, State.PROCEEDING):
@@ -272,6 +278,9 @@
     def requested(self, transaction: ServerTransaction) -> None:
         """A new request."""
 
+    def gave_up(self, transaction: ServerTransaction) -> None:
+        """Serving a request has gone wrong: end what it owns, and answer it where that is still owed."""
+
     def acknowledged(self, message: Message) -> None:
         """The ACK of a 2xx, which belongs to no transaction."""
 
@@ -301,9 +310,10 @@
         if not message.is_request:
             client = self._clients.get(client_key(message))
             if client is None:
-                self._user.stray(message, hop)
+                contained("sip.response", lambda: self._user.stray(message, hop))
             else:
-                client.received(message)
+                found = client
+                contained("sip.response", lambda: found.received(message), found.abandon)
             return
         key = server_key(message)
         server = self._servers.get(key)
@@ -311,12 +321,12 @@
             if server is not None and server.state is not State.ACCEPTED:
                 server.acknowledged()
             else:
-                self._user.acknowledged(message)
+                contained("sip.ack", lambda: self._user.acknowledged(message))
         elif server is not None:
             server.repeated()
         else:
-            server = self._servers[key] = ServerTransaction(self, message, hop, key)
-            self._user.requested(server)
+            fresh = self._servers[key] = ServerTransaction(self, message, hop, key)
+            contained("sip.request", lambda: self._user.requested(fresh), lambda: self._user.gave_up(fresh))
 
     def cancelled_by(self, message: Message) -> ServerTransaction | None:
         """The INVITE that a CANCEL names."""
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -8,7 +8,8 @@
 import pytest
 
 from reedmount import interface as i
-from reedmount.core.checks import COUNTERS, SAID
+from reedmount.core.border import contained
+from reedmount.core.checks import COUNTERS, SAID, invariant
 from reedmount.core.ports import Listed
 from reedmount.core.switch import Switch
 from reedmount.fronts.sip import SipFront, SipServers, SipSettings
@@ -475,3 +476,58 @@
     said = [line for line in capsys.readouterr().err.splitlines() if line.startswith("sip:")]
     assert 0 < len(said) < 40
     SAID.clear()
+
+
+def broken(*_: object, **__: object) -> None:
+    raise KeyError("planted")
+
+
+def test_a_fault_in_serving_a_request_ends_its_transaction_with_500_and_nothing_else(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It stopped a debug build; in a release build the transaction stayed for good and nobody heard."""
+    stage = Sip("server")
+    stage.play(call("phone", "server"))
+    before = COUNTERS["faults.sip.request"]
+    with monkeypatch.context() as patch:
+        patch.setattr(stage.switch, "offer", broken)
+        stage.play("phone send INVITE c2\n phone expect 100 c2\n phone expect 500 c2\n phone send OPTIONS o1")
+        stage.play("phone expect 200 o1")
+    assert COUNTERS["faults.sip.request"] == before + 1
+    stage.play(call("phone", "server", "c3") + "phone send BYE c1\n phone expect 200 c1\n server expect BYE")
+    stage.wait(timedelta(seconds=40))
+    assert len(stage.front.names) <= 1 and not stage.switch.unanswered
+
+
+def test_a_fault_in_serving_a_response_is_an_attempt_without_an_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stage = Sip("server", max_attempts=1)
+    stage.play(RUNG)
+    with monkeypatch.context() as patch:
+        patch.setattr(stage.switch, "stands", broken)
+        stage.play("server send 200 INVITE\n server expect ACK\n server expect BYE\n server send 200 BYE")
+        stage.play("phone expect 503 c1 retry-after=*")
+    stage.wait(timedelta(seconds=40))
+    assert stage.switch.quiet, "one final answer, and nothing is left"
+
+
+def test_a_fault_in_reading_a_stream_ends_that_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Sip("server")
+    other = stage.peer("other", "tcp", stage.front.endpoint.address)
+    stage.play("desk send OPTIONS o1\n desk expect 200 o1\n other send OPTIONS o2\n other expect 200 o2")
+    with monkeypatch.context() as patch:
+        patch.setattr("reedmount.sip.endpoint.next_message", broken)
+        stage.play("desk send OPTIONS o3\n desk expect CLOSED")
+    stage.play("other send OPTIONS o4\n other expect 200 o4\n phone send OPTIONS o5\n phone expect 200 o5")
+    assert other.rings
+
+
+def test_a_broken_invariant_crosses_the_border_in_a_debug_build() -> None:
+    def breaks() -> None:
+        invariant(False, "planted")
+
+    with pytest.raises(AssertionError):
+        contained("test", breaks)
+    assert not contained("test", broken, broken), "a fault in ending is contained as well"
+    assert COUNTERS["faults.test.ending"] >= 1
