Find a CANCEL's call and server at once, and forget servers that left

Cause: a CANCEL went through all open calls, its word was posted to every server ever listed, a connection's end went through all transactions, and a server that was removed kept its actor for good.

Measured: with 6 servers a cancel is 1 word (6 before); after removal and 40 s no actor is left (6 before).

--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -176,6 +176,7 @@
         self.legs: dict[dialogs.Key, Leg] = {}
         self.names: dict[str, Leg] = {}
         self._asked: dict[Asked, Leg] = {}
+        self._asking: dict[ServerTransaction, Leg] = {}  # by the INVITE's transaction
         self.server_legs: dict[dialogs.Key, ServerLeg] = {}
         self._random = random.Random(seed)
         self._count = 0
@@ -186,6 +187,7 @@
     def forget(self, leg: Leg) -> None:
         """A client's leg is over."""
         self.names.pop(leg.name, None)
+        self._asking.pop(leg.transaction, None)
         if self._asked.get(leg.asked) is leg:
             del self._asked[leg.asked]
 
@@ -243,7 +245,7 @@
 
     def gave_up(self, transaction: ServerTransaction) -> None:
         """Serving a request went wrong: its call is given up, and its client hears 500."""
-        leg = next((leg for leg in self.names.values() if leg.transaction is transaction), None)
+        leg = self._asking.get(transaction)
         if leg is not None and leg.open:
             self.switch.caller_gone(leg.name)
             self.forget(leg)
@@ -292,7 +294,7 @@
         transaction.respond(response(message, 100))
         name = f"sip-{self.token()}"
         leg = self.names[name] = Leg(self, transaction, name, self.token())
-        self._asked[leg.asked] = leg
+        self._asked[leg.asked] = self._asking[transaction] = leg
         offer = Offer(
             name=name,
             call_class=kind,
@@ -316,10 +318,10 @@
 
     def _cancel(self, transaction: ServerTransaction) -> None:
         invite = self.endpoint.layer.cancelled_by(transaction.request)
-        leg = next((leg for leg in self.names.values() if leg.transaction is invite), None)
         if invite is None:
             transaction.respond(response(transaction.request, 481, tag=self.token()))
             return
+        leg = self._asking.get(invite)
         transaction.respond(response(transaction.request, 200, tag=leg.tag if leg else self.token()))
         if leg is not None and leg.open:
             self.switch.caller_gone(leg.name)
@@ -345,9 +347,9 @@
 
     def _hop_lost(self, open_ones: list[ServerTransaction]) -> None:
         """A client's connection broke: who set up a call over it is gone, and nobody else can be answered."""
-        lost = {id(transaction) for transaction in open_ones}
-        for leg in [leg for leg in self.names.values() if id(leg.transaction) in lost]:
-            if leg.open:
+        for transaction in open_ones:
+            leg = self._asking.get(transaction)
+            if leg is not None and leg.open:
                 COUNTERS.add("sip.clients_lost")
                 self.switch.caller_gone(leg.name)
                 leg.transaction.end()
@@ -408,6 +410,7 @@
         self.ended = True
         self.timer.cancel()
         self.peer.legs.pop(self.setup.name, None)
+        self.peer.ended(self.setup.name)
         self.peer.front.switch.ended(self.setup.name, self.setup.attempt, outcome, cause)
 
     def release(self, cause: int) -> None:
@@ -421,6 +424,7 @@
         if self.dialog is not None:
             self.peer.front.server_legs.pop(self.dialog.key, None)
         self.peer.standing.pop(self.setup.name, None)
+        self.peer.ended(self.setup.name)
 
     def _cancel(self) -> None:
         if self._cancelled or self.transaction is None or self.hop is None:
@@ -468,6 +472,7 @@
             self.peer.legs.pop(name, None)
             if stands:
                 self.peer.standing[name] = self
+                self.peer.ended(name)  # the attempt, not the call
                 return
         COUNTERS.add("server.late_answers")
         self.release(CUT)
@@ -476,8 +481,11 @@
 class SipServer:
     """The actor of one call server, reached over UDP or TCP."""
 
-    def __init__(self, front: SipFront, entry: Listed) -> None:
+    def __init__(
+        self, front: SipFront, entry: Listed, on_idle: Callable[[SipServer, str], None]
+    ) -> None:
         self.front, self.loop, self.entry = front, front.loop, entry
+        self._on_idle = on_idle
         self.legs: dict[str, ServerLeg] = {}
         self.standing: dict[str, ServerLeg] = {}
         self.waiting: list[ServerLeg] = []  # for the connection to come up
@@ -485,6 +493,24 @@
         self._actor: Actor[Setup | CancelSetup | Release | Listed | End] = Actor(front.loop, self._handle)
         self.post = self._actor.post
 
+    @property
+    def over(self) -> bool:
+        """Whether it was removed from the pool and nothing of ours is left there."""
+        return self.entry.removed and not (
+            self.legs or self.standing or self.waiting or self._actor.pending
+        )
+
+    def ended(self, name: str) -> None:
+        """An attempt or a call has come to its end here."""
+        self.loop.soon(lambda: self._on_idle(self, name))
+
+    def close(self) -> None:
+        """It is forgotten; its connection closes once all is written."""
+        self._actor.stop()
+        if self._hop is not None:
+            self._hop.on_lost = None
+            self._hop.connection.close_when_sent()
+
     def hop_for(self, used: Hop) -> Hop:
         """The way to the server now: what was used, or the connection that has followed it."""
         if isinstance(used, TcpHop) and used.connection.ended:
@@ -514,6 +540,7 @@
             waiting, self.waiting = self.waiting, []
             for leg in waiting:
                 leg.end(i.Outcome.NOT_SENT)
+        self.ended("")
 
     def _setup(self, setup: Setup) -> None:
         leg = self.legs[setup.name] = ServerLeg(self, setup)
@@ -557,6 +584,7 @@
     def __init__(self, front: SipFront) -> None:
         self._front = front
         self._peers: dict[str, SipServer] = {}
+        self._out: dict[str, SipServer] = {}  # by call: who has its open attempt
 
     def listed(self, entries: list[Listed]) -> None:
         """Tell the actors of their servers' states."""
@@ -565,7 +593,15 @@
             if peer is not None:
                 peer.post(entry)
             elif not entry.removed:
-                self._peers[entry.server] = SipServer(self._front, entry)
+                self._peers[entry.server] = SipServer(self._front, entry, self._idle)
+
+    def _idle(self, peer: SipServer, name: str) -> None:
+        """An attempt or a call there has ended; one that was removed and has none left is forgotten."""
+        if self._out.get(name) is peer and name not in peer.legs:
+            del self._out[name]
+        if peer.over and self._peers.get(peer.entry.server) is peer:
+            peer.close()
+            del self._peers[peer.entry.server]
 
     def send(self, setup: Setup) -> None:
         """A set-up to a server that is not known is not sent."""
@@ -573,11 +609,13 @@
         if peer is None:
             self._front.switch.ended(setup.name, setup.attempt, i.Outcome.NOT_SENT)
         else:
+            self._out[setup.name] = peer
             peer.post(setup)
 
     def cancel(self, name: str, attempt: int) -> None:
-        """Only the server that has the attempt acts on it."""
-        for peer in self._peers.values():
+        """To the server that has the attempt."""
+        peer = self._out.get(name)
+        if peer is not None:
             peer.post(CancelSetup(name, attempt))
 
     def release(self, server: str | None, name: str, cause: int) -> None:
--- a/reedmount/net/loop.py
+++ b/reedmount/net/loop.py
@@ -173,6 +173,10 @@
         self._items: deque[T] = deque()
         self._waiter: Callable[[T], None] | None = None
 
+    def __len__(self) -> int:
+        """How many items wait."""
+        return len(self._items)
+
     def post(self, item: T) -> None:
         """Send the actor something; it looks at it in this turn of the loop."""
         self._items.append(item)
@@ -222,6 +226,11 @@
         """Send it something."""
         self.mailbox.post(item)
 
+    @property
+    def pending(self) -> bool:
+        """Whether there is something it has not looked at yet."""
+        return bool(self.mailbox)
+
     def stop(self) -> None:
         """It has nothing more to do; what it is amid it finishes."""
         self._loop.soon(self._end)
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -296,6 +296,7 @@
         self._user = user
         self._servers: dict[Key, ServerTransaction] = {}
         self._clients: dict[Key, ClientTransaction] = {}
+        self._on: dict[Hop, dict[Transaction, None]] = {}  # by connection
 
     def send(self, message: Message, hop: Hop, on_answer: Answer) -> ClientTransaction:
         """Start a client transaction; its branch has to be new."""
@@ -303,6 +304,7 @@
         transaction = ClientTransaction(self, message, hop, key, on_answer)
         if transaction.state is not State.TERMINATED:
             self._clients[key] = transaction
+            self._enter(transaction)
         return transaction
 
     def received(self, message: Message, hop: Hop) -> None:
@@ -326,6 +328,7 @@
             server.repeated()
         else:
             fresh = self._servers[key] = ServerTransaction(self, message, hop, key)
+            self._enter(fresh)
             contained("sip.request", lambda: self._user.requested(fresh), lambda: self._user.gave_up(fresh))
 
     def cancelled_by(self, message: Message) -> ServerTransaction | None:
@@ -334,20 +337,36 @@
         return self._servers.get((*key[:-1], "INVITE"))
 
     def hop_lost(self, hop: Hop) -> list[ServerTransaction]:
-        """A connection is gone: its client transactions fail; the open server ones are returned."""
-        for client in [client for client in self._clients.values() if client.hop is hop]:
-            client.lost()
-        return [server for server in self._servers.values() if server.hop is hop]
+        """A connection is gone: its client transactions fail; its server ones are returned."""
+        on_it = list(self._on.pop(hop, ()))
+        for transaction in on_it:
+            if isinstance(transaction, ClientTransaction):
+                transaction.lost()
+        return [transaction for transaction in on_it if isinstance(transaction, ServerTransaction)]
+
+    def _enter(self, transaction: Transaction) -> None:
+        """Find it again by its connection; datagrams have none that could end."""
+        if transaction.hop.reliable:
+            self._on.setdefault(transaction.hop, {})[transaction] = None
+
+    def _leave(self, transaction: Transaction) -> None:
+        on_it = self._on.get(transaction.hop) if transaction.hop.reliable else None
+        if on_it is not None:
+            on_it.pop(transaction, None)
+            if not on_it:
+                del self._on[transaction.hop]
 
     def forget_server(self, key: Key, transaction: ServerTransaction) -> None:
         """It is over."""
         if self._servers.get(key) is transaction:
             del self._servers[key]
+            self._leave(transaction)
 
     def forget_client(self, key: Key, transaction: ClientTransaction) -> None:
         """It is over."""
         if self._clients.get(key) is transaction:
             del self._clients[key]
+            self._leave(transaction)
 
 
 def check(message: Message) -> None:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
+from typing import Any
 
 import pytest
 
 from reedmount import interface as i
 from reedmount.core.border import contained
 from reedmount.core.checks import COUNTERS, SAID, invariant
-from reedmount.core.ports import Listed
+from reedmount.core.ports import Listed, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.sip import SipFront, SipServers, SipSettings
 from reedmount.sip.transaction import Timers
@@ -531,3 +533,68 @@
         contained("test", breaks)
     assert not contained("test", broken, broken), "a fault in ending is contained as well"
     assert COUNTERS["faults.test.ending"] >= 1
+
+
+@pytest.mark.parametrize("kind", ["udp", "tcp"])
+def test_a_cancel_is_posted_to_one_server_and_servers_that_left_are_forgotten(kind: str) -> None:
+    """It was posted to every server that had ever been listed."""
+    names = [f"s{number}" for number in range(6)]
+    stage = Sip(*names, kind=kind)
+    side = stage.switch._servers
+    assert isinstance(side, SipServers)
+    posted: list[str] = []
+    for name, peer in side._peers.items():
+        def post(item: object, name: str = name, plain: Callable[[Any], None] = peer.post) -> None:
+            posted.append(f"{name} {type(item).__name__}")
+            plain(item)
+
+        peer.post = post
+    stage.play("phone send INVITE c1\n phone expect 100 c1")
+    stage.settle()
+    (asked,) = [name for name in names if stage.peers[name].inbox]
+    stage.play(f"{asked} expect INVITE\n {asked} send 180 INVITE\n phone send CANCEL c1")
+    stage.play(f"phone expect 200 c1\n phone expect 487 c1\n {asked} expect CANCEL\n {asked} send 487 INVITE")
+    assert [word for word in posted if "CancelSetup" in word] == [f"{asked} CancelSetup"]
+    stage.play(f"{asked} expect ACK")
+    assert not side._out
+    gone = [Listed(name, (HOST, stage.peers[name].port), number, False, True, None, kind)
+            for number, name in enumerate(names, 1)]  # fmt: skip
+    stage.switch.pool(9, i.ListKind.CHANGES, gone)
+    stage.wait(timedelta(seconds=40))
+    assert not side._peers
+
+
+def test_a_server_that_was_removed_is_kept_while_a_call_stands_there() -> None:
+    stage = Sip("server")
+    side = stage.switch._servers
+    assert isinstance(side, SipServers)
+    stage.play(call("phone", "server"))
+    gone = Listed("server", (HOST, stage.peers["server"].port), 1, False, True, None, "udp")
+    stage.switch.pool(9, i.ListKind.CHANGES, [gone])
+    stage.wait(timedelta(seconds=1))
+    assert list(side._peers) == ["server"]
+    stage.play("phone send BYE c1\n phone expect 200 c1\n server expect BYE\n server send 200 BYE")
+    stage.wait(timedelta(seconds=1))
+    assert not side._peers
+
+
+def test_a_connection_that_ends_leaves_no_transaction_behind() -> None:
+    stage = Sip("server")
+    stage.play("desk send INVITE c1\n desk expect 100 c1\n server expect INVITE\n desk send OPTIONS o1")
+    stage.play("desk expect 200 o1\n desk close\n wait 100")
+    assert not stage.front.endpoint.layer._on and not stage.front._asking
+
+
+def test_a_set_up_that_crosses_the_removal_of_its_server_ends_and_is_not_lost() -> None:
+    """It lay unread with the server's actor when that was forgotten."""
+    stage = Sip("server", "other", max_attempts=2)
+    side = stage.switch._servers
+    assert isinstance(side, SipServers)
+    peer = side._peers["server"]
+    gone = Listed("server", (HOST, stage.peers["server"].port), 1, False, True, None, "udp")
+    ended: list[tuple[str, i.Outcome]] = []
+    stage.switch.ended = lambda name, attempt, outcome, *_: ended.append((name, outcome))  # type: ignore[method-assign]
+    peer.post(gone)
+    side.send(Setup("late", 0, "server", "small", "100", WAIT, b""))
+    stage.wait(timedelta(milliseconds=50))
+    assert ended == [("late", i.Outcome.NOT_SENT)] and list(side._peers) == ["other"]
