Pass on how far a set-up has come, and release a forking server's other answers

Need: a caller heard no ringing, which alone keeps real phones away. A second 200 of another far end was acknowledged in the first one's dialog, and that far end held its call until it gave up by itself.

Change: the core has a word for progress, without wire; a client transaction passes each provisional answer to its user; 180 to 183 go to the caller with Contact and body, at most 32 an attempt, under another tag where another attempt or far end begins. Other far ends' 200s are acknowledged in dialogs of their own and released (RFC 3261, 13.2.2.4). The thin protocol has no word for progress and says nothing.

--- a/reedmount/core/ports.py
+++ b/reedmount/core/ports.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from enum import Enum
 from typing import Protocol
 
 NORMAL, CUT = 16, 41  # Q.850 causes: the call came to its end, it was cut
@@ -23,9 +24,22 @@
     was_cut: bool = False
 
 
+class Progress(Enum):
+    """What is told of a set-up before its final answer."""
+
+    RINGING = "ringing"
+    FORWARDED = "forwarded"
+    QUEUED = "queued"
+    SESSION = "session progress"
+    AGAIN = "another begins"  # what was told of the attempt or far end before holds no more
+
+
 class Caller(Protocol):
     """The caller of a call, as its front shows it to the core."""
 
+    def progressed(self, name: str, progress: Progress, description: bytes) -> None:
+        """Not final: how far the set-up has come. Fronts whose wire has no word for it say nothing."""
+
     def answered(self, name: str, description: bytes) -> None:
         """Final answer: the call stands."""
 
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -11,7 +11,7 @@
 from reedmount.core.checks import COUNTERS, invariant, log
 from reedmount.core.clock import ZERO, Clock, micros, span, span_micros
 from reedmount.core.lifecycle import Lifecycle, Need
-from reedmount.core.ports import CUT, NORMAL, Caller, Listed, Offer, Servers, Setup
+from reedmount.core.ports import CUT, NORMAL, Caller, Listed, Offer, Progress, Servers, Setup
 from reedmount.net.loop import Actor, Loop
 
 NO_REPORT = i.LoadReport()
@@ -32,6 +32,7 @@
     sent_at: datetime | None = None
     gone: bool = False  # nothing more is owed
     standing: bool = False
+    progressed: bool = False  # its caller was told of this attempt or one before
 
 
 class Switch:
@@ -178,6 +179,17 @@
         self._inbox.post(i.CallStands(call.number, call.attempts - 1, call.server, span_micros(delay)))
         return True
 
+    def progressed(self, name: str, attempt: int, progress: Progress, description: bytes = b"") -> None:
+        """The server says how far the attempt that is out has come; a dead one's word goes nowhere."""
+        call = self._by_name.get(name)
+        if call is None or call.out != attempt or call.gone:
+            COUNTERS.add("progress.late")
+            return
+        if progress is not Progress.AGAIN:
+            call.progressed = True
+            COUNTERS.add("progress.told")
+        call.caller.progressed(name, progress, description)
+
     def ended(
         self,
         name: str,
@@ -294,6 +306,9 @@
         if not invariant(call.out is None, "one_attempt_out"):
             return
         call.out, call.server, call.sent_at = attempt, action.server, self._clock.now()
+        if call.progressed:
+            call.progressed = False
+            call.caller.progressed(call.offer.name, Progress.AGAIN, b"")
         COUNTERS.add("attempts.sent")
         self._unsent.pop(call.number, None)
         self._tell_attempt(action.server, None)
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -11,7 +11,7 @@
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import whole_millis
 from reedmount.core.lifecycle import Need, Phase
-from reedmount.core.ports import NORMAL
+from reedmount.core.ports import NORMAL, Progress
 from reedmount.core.switch import Switch
 from reedmount.fronts.thin import bye, cause_of, name_of, offer_of
 from reedmount.fronts.twin import TELL_EVERY, Twin, Word
@@ -128,6 +128,9 @@
         """Fail the call."""
         self._final(name, FAILED, [])
 
+    def progressed(self, name: str, progress: Progress, description: bytes) -> None:
+        """The thin protocol has no word for it."""
+
     def released(self, name: str, cause: int) -> None:
         """Pass a release on: here, else on any open connection, else on the next."""
         self._callers.over(name)
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -11,7 +11,7 @@
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import ZERO
 from reedmount.core.lifecycle import Need
-from reedmount.core.ports import CUT, NORMAL, CancelSetup, Listed, Offer, Release, Setup
+from reedmount.core.ports import CUT, NORMAL, CancelSetup, Listed, Offer, Progress, Release, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.thin import cause_of
 from reedmount.net.connection import Address, End, text_of
@@ -36,6 +36,10 @@
 )
 ANSWER_EARLY = timedelta(milliseconds=40)
 SECOND = timedelta(seconds=1)
+PROGRESS = {180: Progress.RINGING, 181: Progress.FORWARDED, 182: Progress.QUEUED, 183: Progress.SESSION}
+STATUSES = {progress: status for status, progress in PROGRESS.items()}
+FORKS_MOST = 16  # far ends of one set-up that are released
+PROGRESS_MOST = 32  # of an attempt: a server that rings without end must not make us do the same
 LEAVING_RETRY = timedelta(seconds=5)  # for INVITEs that come while it drains or ends
 OUTCOMES = {
     480: (i.Outcome.FAILED, i.Cause.OTHER),
@@ -107,6 +111,19 @@
         self._repeat(timers.t1)
         self.front.loop.after(timers.longest, self._never_acknowledged)
 
+    def progressed(self, name: str, progress: Progress, description: bytes) -> None:
+        """180 to 183. Another far end has another tag: it is an early dialog of its own (12.1)."""
+        if progress is Progress.AGAIN:
+            self.tag = self.front.token()
+            return
+        if not self.open:
+            return
+        extra = [("Contact", self.front.endpoint.contact(self.transaction.hop)), ("Allow", ALLOW),
+                 *(("Record-Route", value) for value in self.transaction.request.all("Record-Route")),
+                 *([("Content-Type", "application/sdp")] if description else [])]  # fmt: skip
+        status = STATUSES[progress]
+        self.transaction.respond(response(self.transaction.request, status, extra, description, self.tag))
+
     def refused(self, name: str, pause: timedelta) -> None:
         """503 with Retry-After, in whole seconds as SIP has it."""
         extra = [("Retry-After", str(max(1, -(-pause // SECOND))))] if pause > ZERO else []
@@ -368,6 +385,9 @@
         self._wanted: i.Outcome | None = None  # it is being called off
         self._cancelled = False
         self._ack: Message | None = None
+        self._fork: str | None = None  # the far end of which the caller was told
+        self._forks: dict[str, Dialog] = {}  # others that answered as well
+        self._told = 0
         self.timer: Timer = peer.loop.after(setup.give_up, lambda: self.call_off(i.Outcome.TIMED_OUT))
 
     def start(self, hop: Hop) -> None:
@@ -443,15 +463,45 @@
         elif message.status < 200:
             if self._wanted is not None:
                 self._cancel()
+            else:
+                self._progressed(message)
         elif message.status >= 300:
             outcome, cause = OUTCOMES.get(message.status, (i.Outcome.FAILED, i.Cause.OTHER))
             self.end(outcome, cause)
         else:
             self._stands(message)
 
+    def _progressed(self, message: Message) -> None:
+        """Of several far ends (a server that forks) the first is told of; 100 is between neighbours."""
+        progress = PROGRESS.get(message.status)
+        if progress is None:
+            return
+        self._told += 1
+        fork = parameter(message.get("To") or "", "tag") or ""
+        if self._told > PROGRESS_MOST or self._fork not in (None, fork):
+            COUNTERS.add("progress.not_passed")
+            return
+        self._fork = fork
+        self.peer.front.switch.progressed(self.setup.name, self.setup.attempt, progress, message.body)
+
+    def _release_fork(self, message: Message) -> bool:
+        """A 200 of another far end than the one that is kept: it is acknowledged and released (13.2.2.4)."""
+        tag = parameter(message.need("To"), "tag") or ""
+        if self.dialog is None or self.transaction is None or self.hop is None or self.dialog.key[2] == tag:
+            return False
+        if tag not in self._forks and len(self._forks) < FORKS_MOST:
+            COUNTERS.add("server.forked_answers")
+            other = self._forks[tag] = dialogs.as_caller(self.transaction.request, message)
+            self.hop.send(other.request("ACK", self.peer.front.via(self.hop)).encode())
+            self.peer.front.bye(other, self.peer.hop_for(self.hop), CUT)
+        elif tag in self._forks:
+            again = dialogs.as_caller(self.transaction.request, message)  # its ACK was lost
+            self.hop.send(again.request("ACK", self.peer.front.via(self.hop)).encode())
+        return True
+
     def _stands(self, message: Message) -> None:
         """Acknowledge a 200, also a repeated one; one that nobody waits for any more is released."""
-        if self.transaction is None or self.hop is None:
+        if self.transaction is None or self.hop is None or self._release_fork(message):
             return
         again = self.dialog is not None
         if not again:
@@ -467,6 +517,8 @@
         self.timer.cancel()
         front.server_legs[self.dialog.key] = self
         if not self.ended:
+            if self._fork not in (None, self.dialog.key[2]):
+                front.switch.progressed(name, self.setup.attempt, Progress.AGAIN)
             stands = front.switch.stands(name, self.setup.attempt, message.body)
             self.ended = True
             self.peer.legs.pop(name, None)
--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -12,7 +12,8 @@
     "c": "content-type", "k": "supported", "s": "subject", "e": "content-encoding",
 }  # fmt: skip
 REASONS = {
-    100: "Trying", 180: "Ringing", 200: "OK", 400: "Bad Request", 405: "Method Not Allowed",
+    100: "Trying", 180: "Ringing", 181: "Call Is Being Forwarded", 182: "Queued", 183: "Session Progress",
+    200: "OK", 400: "Bad Request", 405: "Method Not Allowed",
     408: "Request Timeout", 420: "Bad Extension", 480: "Temporarily Unavailable",
     481: "Call/Transaction Does Not Exist",
     482: "Loop Detected", 483: "Too Many Hops", 487: "Request Terminated",
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -199,6 +199,8 @@
                 if self.invite:
                     self._stop()
                 self._on_answer(message)
+            elif self.state is State.PROCEEDING:
+                self._on_answer(message)  # 17.1.1.2: any number of them goes to the user
         elif self.state in (State.TRYING, State.PROCEEDING):
             self._stop()
             self._final(message)
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -14,7 +14,8 @@
 from reedmount.core.checks import COUNTERS, SAID, invariant
 from reedmount.core.ports import Listed, Setup
 from reedmount.core.switch import Switch
-from reedmount.fronts.sip import SipFront, SipServers, SipSettings
+from reedmount.fronts.sip import PROGRESS_MOST, SipFront, SipServers, SipSettings
+from reedmount.sip.message import Message, parameter, response
 from reedmount.sip.transaction import Timers
 from tests.scenario import HOST, Stage
 from tests.support import MS, SETTINGS
@@ -62,6 +63,7 @@
         {client} expect 100 {name}
         {server} expect INVITE body=offer
         {server} send 180 INVITE
+        {client} expect 180 {name}
         {server} send 200 INVITE | answer
         {server} expect ACK
         {client} expect 200 {name} body=answer
@@ -189,6 +191,7 @@
     stage.play(f"""
         {RUNG}
         server send 180 INVITE
+        phone expect 180 c1
         phone send CANCEL c1
         phone expect 200 c1
         phone expect 487 c1
@@ -222,6 +225,7 @@
     stage.play(f"""
         {RUNG}
         server send 180 INVITE
+        phone expect 180 c1
         phone send CANCEL c1
         phone expect 200 c1
         phone expect 487 c1
@@ -240,6 +244,7 @@
         desk expect 100 c1
         server expect INVITE
         server send 180 INVITE
+        desk expect 180 c1
         wait 940
         desk expect nothing
         wait 30
@@ -348,6 +353,7 @@
         desk expect 100 c1
         server expect INVITE
         server send 180 INVITE
+        desk expect 180 c1
         wait 10
         desk close reset
         server expect CANCEL
@@ -552,8 +558,9 @@
     stage.play("phone send INVITE c1\n phone expect 100 c1")
     stage.settle()
     (asked,) = [name for name in names if stage.peers[name].inbox]
-    stage.play(f"{asked} expect INVITE\n {asked} send 180 INVITE\n phone send CANCEL c1")
-    stage.play(f"phone expect 200 c1\n phone expect 487 c1\n {asked} expect CANCEL\n {asked} send 487 INVITE")
+    stage.play(f"{asked} expect INVITE\n {asked} send 180 INVITE\n phone expect 180 c1")
+    stage.play(f"phone send CANCEL c1\n phone expect 200 c1\n phone expect 487 c1\n {asked} expect CANCEL")
+    stage.play(f"{asked} send 487 INVITE")
     assert [word for word in posted if "CancelSetup" in word] == [f"{asked} CancelSetup"]
     stage.play(f"{asked} expect ACK")
     assert not side._out
@@ -598,3 +605,81 @@
     side.send(Setup("late", 0, "server", "small", "100", WAIT, b""))
     stage.wait(timedelta(milliseconds=50))
     assert ended == [("late", i.Outcome.NOT_SENT)] and list(side._peers) == ["other"]
+
+
+def test_callers_hear_how_far_it_has_come_each_time_and_not_100() -> None:
+    stage = Sip("server")
+    stage.play(f"""
+        {RUNG}
+        server send 100 INVITE
+        phone expect nothing
+        server send 180 INVITE
+        phone expect 180 c1 contact=*
+        server send 183 INVITE | early
+        phone expect 183 c1 body=early content-type=application/sdp
+        server send 180 INVITE
+        phone expect 180 c1
+        server send 200 INVITE | answer
+        server expect ACK
+        phone expect 200 c1 body=answer
+        server send 180 INVITE
+        phone expect nothing
+    """)
+
+
+def test_a_server_that_rings_without_end_is_passed_on_a_bounded_number_of_times() -> None:
+    stage = Sip("server")
+    stage.play(RUNG)
+    for _ in range(100):
+        stage.play("server send 180 INVITE")
+    stage.settle()
+    assert len(stage.peers["phone"].inbox) == PROGRESS_MOST
+
+
+def test_what_was_told_of_an_attempt_that_failed_is_another_early_dialog_than_the_next() -> None:
+    stage = Sip("server", "second", max_attempts=2)
+    stage.play("phone send INVITE c1\n phone expect 100 c1")
+    stage.settle()
+    first = "server" if stage.peers["server"].inbox else "second"
+    other = "second" if first == "server" else "server"
+    heard = stage.peers["phone"].heard_tags = []  # type: ignore[attr-defined]
+    plain = stage.peers["phone"].take
+
+    def take(message: Message) -> None:
+        heard.append((message.status, parameter(message.need("To"), "tag")))
+        plain(message)
+
+    stage.peers["phone"].take = take  # type: ignore[method-assign]
+    stage.play(f"""
+        {first} expect INVITE
+        {first} send 180 INVITE
+        phone expect 180 c1
+        {first} send 503 INVITE
+        {first} expect ACK
+        wait 600
+        {other} expect INVITE
+        {other} send 180 INVITE
+        phone expect 180 c1
+        {other} send 200 INVITE | answer
+        phone expect 200 c1 body=answer
+    """)
+    (_, one), (_, two), (_, final) = heard
+    assert one and two and one != two == final
+
+
+def test_a_server_that_forks_has_one_answer_kept_and_the_others_released() -> None:
+    stage = Sip("server")
+    stage.play(RUNG)
+    server = stage.peers["server"]
+    asked = server.heard[-1]
+    for tag in ("a", "b"):
+        contact = ("Contact", f"<sip:{tag}@{HOST}:{server.port}>")
+        server.write(response(asked, 200, [contact], tag.encode(), tag=tag).encode())
+    stage.play("phone expect 200 c1 body=a")
+    stage.settle()
+    words = [(message.method, parameter(message.need("To"), "tag")) for message in server.inbox]
+    assert sorted(words) == [("ACK", "a"), ("ACK", "b"), ("BYE", "b")]
+    server.inbox.clear()
+    server.write(response(asked, 200, [contact], b"b", tag="b").encode())
+    stage.play("server expect ACK\n server expect nothing\n phone expect nothing")
+    stage.play("phone send BYE c1\n phone expect 200 c1\n server expect BYE")
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -11,7 +11,7 @@
 
 from reedmount.core.checks import COUNTERS, SAID
 from reedmount.core.lifecycle import Phase
-from reedmount.core.ports import Offer
+from reedmount.core.ports import Offer, Progress
 from reedmount.net.connection import text_of
 from reedmount.pool.rule import Rule
 from reedmount.pool.words import Claim, Word
@@ -217,6 +217,9 @@
     def __init__(self) -> None:
         self.finals: list[str] = []
 
+    def progressed(self, name: str, progress: Progress, description: bytes) -> None:
+        pass
+
     def answered(self, name: str, description: bytes) -> None:
         self.finals.append("stands")
 
