Fuzz every surface by seeded mutations; read a header folded right after its colon

Need: nothing from outside may end the program, and what nobody thought of is found by machines.

Change: `standins/mutate.py` and tests of SIP over UDP and TCP, messages, DNS updates, the door, the board's answers, operator and platform files, zone files; a fault that the border would contain fails them. Cause of the one fault found: a value folded right after its colon kept a space before it, and `CSeq` was taken for malformed (RFC 3261, 7.3.1 allows it).

--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -132,7 +132,7 @@
             if not message.headers:
                 raise SipError(400, "a folded line without a header")
             key, value = message.headers[-1]
-            message.headers[-1] = (key, f"{value} {line.strip()}")
+            message.headers[-1] = (key, f"{value} {line.strip()}".strip())
             if len([name for name, _ in message.headers if name.lower() == key.lower()]) == 1:
                 index[key.lower()] = message.headers[-1][1]
             continue
--- /dev/null
+++ b/standins/mutate.py
@@ -0,0 +1,49 @@
+"""Mutations of bytes that were well formed: what parsers meet when a peer is broken or hostile. Seeded."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator, Sequence
+
+TOKENS = (
+    b"\r\n", b"\r\n\r\n", b"\0", b"\xff\xfe", b"\xc3\x28", b",", b";", b":", b"<", b">", b'"', b"=", b" ",
+    b"\t", b"-1", b"0", b"2147483648", b"9" * 20, b"NaN", b"[::1]", b"[", b"]", b"%", b"\\", b"@",
+    "é".encode(), "٣".encode(), "²".encode(), b"{", b"}", b"null", b"true", b"Via", b"tag", b"SIP/2.0",
+)  # fmt: skip
+MOST = 6  # mutations of one message
+
+
+def mutated(chance: random.Random, seeds: Sequence[bytes], count: int) -> Iterator[bytes]:
+    """So many messages, each one of the seeds with one to six mutations, mostly few."""
+    for _ in range(count):
+        data = bytearray(chance.choice(seeds))
+        for _ in range(min(MOST, 1 + int(chance.expovariate(1.0)))):
+            _mutate(chance, data, seeds)
+        yield bytes(data)
+
+
+def _mutate(chance: random.Random, data: bytearray, seeds: Sequence[bytes]) -> None:
+    at = chance.randrange(len(data) + 1)
+    end = min(len(data), at + chance.randint(1, 12))
+    match chance.randrange(8):
+        case 0:
+            data[at:end] = b""
+        case 1:
+            data[at:at] = chance.choice(TOKENS)
+        case 2:
+            data[at:end] = chance.choice(TOKENS)
+        case 3:
+            data[at:at] = data[at:end] * chance.choice((1, 2, 50))
+        case 4 if at < len(data):
+            data[at] ^= 1 << chance.randrange(8)
+        case 5:
+            del data[at:]
+        case 6:
+            other = chance.choice(seeds)
+            data[at:end] = other[(cut := chance.randrange(len(other))) : cut + chance.randint(1, 60)]
+        case _:
+            lines = bytes(data).split(b"\n")
+            chance.shuffle(lines) if chance.random() < 0.3 else lines.insert(
+                chance.randrange(len(lines)), chance.choice(lines)
+            )
+            data[:] = b"\n".join(lines)
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,193 @@
+"""Mutation fuzzing, seeded and bounded, of every surface that listens or reads: nothing ends the program."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import dns.message
+import dns.update
+import pytest
+
+from reedmount.config import ConfigError, read_platform
+from reedmount.core import border
+from reedmount.core.checks import COUNTERS, SAID
+from reedmount.core.clock import ZERO
+from reedmount.core.lifecycle import Lifecycle
+from reedmount.dns.update import Master, Policy
+from reedmount.dns.zone import ZoneError, load
+from reedmount.fronts.admin import Door, View
+from reedmount.fronts.board import BoardError, read_notices
+from reedmount.operator_file import read_operator
+from reedmount.sip.message import SipError, parse_datagram
+from standins.mutate import mutated
+from tests.scenario import HOST, Peer
+from tests.test_board import host, notice
+from tests.test_config import platform
+from tests.test_dns import ORIGIN, ZONE, zone_file
+from tests.test_sip import Sip
+
+METHODS = ("INVITE", "ACK", "BYE", "CANCEL", "OPTIONS", "REGISTER")
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@pytest.fixture(autouse=True)
+def strict() -> Iterator[None]:
+    """A fault that the border would contain is a fault all the same: here it fails the test."""
+    border.STRICT = True
+    yield
+    border.STRICT = False
+    SAID.clear()
+
+
+def sip_seeds(peer: Peer, kind: str) -> list[bytes]:
+    """Requests and responses as both sides send them."""
+    words = {"expires": "2", "require": ""}
+    made = [peer.request(method, f"f{number}", dict(words), b"v=0\r\n").encode()
+            for number, method in enumerate(METHODS)]  # fmt: skip
+    via = f"SIP/2.0/{kind.upper()} {HOST}:{peer.port};branch=z9hG4bKx;rport, SIP/2.0/UDP [::1]:5;branch=z9"
+    response = (
+        f"SIP/2.0 200 OK\r\nv: {via}\r\nf: <sip:a@b>;tag=1\r\nt: \"x, y\" <sip:a@b>;tag=2\r\ni: f1\r\n"
+        f"CSeq: 1 INVITE\r\nm: <sip:s@{HOST}:{peer.port}>\r\nRecord-Route: <sip:p;lr>\r\nl: 0\r\n\r\n"
+    )
+    return [*made, response.encode()]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_sip_over_udp(seed: int) -> None:
+    stage = Sip("server")
+    phone = stage.peers["phone"]
+    phone.pump = lambda: False  # type: ignore[method-assign]
+    stage.peers["server"].pump = lambda: False  # type: ignore[method-assign]
+    assert phone.sock is not None and phone.to is not None
+    before = COUNTERS["sip.in.malformed"] + COUNTERS["sip.in.dropped"]
+    for turn, wire in enumerate(mutated(random.Random(seed), sip_seeds(phone, "udp"), 1500)):
+        phone.sock.sendto(wire[:60_000], phone.to)
+        if turn % 20 == 0:
+            stage.loop.turn(ZERO)
+            stage.time.seconds += 0.05
+    stage.wait(stage.front.settings.timers.longest)
+    assert COUNTERS["sip.in.malformed"] + COUNTERS["sip.in.dropped"] > before + 100
+    phone.sock.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            phone.sock.recv(65536)  # answers that carry what was malformed
+    phone.sock.setblocking(True)
+    del phone.pump
+    stage.play("phone send OPTIONS alive\n phone expect 200 alive")
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_sip_over_tcp(seed: int) -> None:
+    stage = Sip("server")
+    chance = random.Random(seed)
+    seeds = sip_seeds(stage.peers["desk"], "tcp")
+    for wire in mutated(chance, seeds, 300):
+        with socket.create_connection(stage.front.endpoint.address) as sock:
+            for begin in range(0, len(wire), max(1, len(wire) // 3)):
+                with contextlib.suppress(ConnectionError):  # closed: the rest is not wanted
+                    sock.sendall(wire[begin : begin + max(1, len(wire) // 3)])
+                while stage.loop.turn(ZERO):
+                    pass
+        stage.time.seconds += 0.01
+    stage.play("desk send OPTIONS alive\n desk expect 200 alive")
+
+
+def test_messages_of_sip_raise_nothing_but_what_their_sender_is_told() -> None:
+    stage = Sip("server")
+    read = 0
+    for wire in mutated(random.Random(7), sip_seeds(stage.peers["phone"], "udp"), 5000):
+        try:
+            message = parse_datagram(wire)
+        except SipError:
+            continue
+        read += 1
+        message.headers = [item for item in message.headers if item[0].lower() != "content-length"]
+        again = parse_datagram(message.encode())
+        assert (again.method, again.uri, again.status, again.body) == (
+            message.method, message.uri, message.status, message.body
+        )  # fmt: skip
+        assert again.headers[:-1] == message.headers
+    assert 1500 < read < 4000
+
+
+def test_dns_updates(tmp_path: Path) -> None:
+    change = dns.update.UpdateMessage(ORIGIN)
+    change.add("three", 60, "A", "127.0.0.3")
+    change.delete("_sip._udp", "SRV", "10 1 5070 one")
+    change.present("one", "A")
+    seeds = [change.to_wire(), dns.message.make_query(ORIGIN, "SOA").to_wire()]
+    primary = Master(load(zone_file(tmp_path), ORIGIN), Policy(frozenset({HOST})), lambda _: None)
+    replies = 0
+    for wire in mutated(random.Random(1), seeds, 4000):
+        replies += primary.answer(wire, HOST) is not None
+    assert replies > 500
+
+
+def test_the_door() -> None:
+    stage = Sip()
+    views: dict[str, View] = {"/v": lambda query: dict(query)}
+    door = Door(stage.loop, (HOST, 0), Lifecycle(stage.time.clock), lambda: {}, views)
+    seeds = [b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n",
+             b"GET /v?after=3&b=%ff HTTP/1.1\r\nHost: x\r\n\r\n",
+             b"POST /admin/resume HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\nHost: x\r\n\r\nab"]
+    for wire in mutated(random.Random(2), seeds, 1000):
+        with socket.create_connection(door.address) as sock:
+            sock.sendall(wire)
+            while stage.loop.turn(ZERO):
+                pass
+    stage.time.seconds += 10
+    with socket.create_connection(door.address, 5) as sock:
+        sock.sendall(seeds[1])
+        stage.settle()
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+
+
+def test_the_board_s_answers() -> None:
+    raw = {"rev": 3, "notices": [notice(1, host("a"), whole=True), notice(2, host("a", "DRAINING")),
+                                 {"rev": 3, "other": {}}]}  # fmt: skip
+    taken = 0
+    for wire in mutated(random.Random(3), [json.dumps(raw).encode()], 4000):
+        try:
+            read_notices(json.loads(wire))
+            taken += 1
+        except (BoardError, ValueError, RecursionError):
+            pass
+    assert taken > 50
+
+
+@pytest.mark.parametrize("name", ["sip.toml", "srv.toml"])
+def test_operators_files(tmp_path: Path, name: str) -> None:
+    seed = (ROOT / "deploy" / name).read_bytes()
+    path = tmp_path / name
+    taken = 0
+    for wire in mutated(random.Random(4), [seed], 600):
+        path.write_bytes(wire)
+        try:
+            read_operator(path)
+            taken += 1
+        except ConfigError:
+            pass
+    assert taken < 500
+
+
+def test_the_platform_s_file(tmp_path: Path) -> None:
+    platform(tmp_path)
+    seed = (tmp_path / "config.json").read_bytes()
+    for wire in mutated(random.Random(5), [seed], 1500):
+        (tmp_path / "config.json").write_bytes(wire)
+        with contextlib.suppress(ConfigError):
+            read_platform({"GW_CONFIG": str(tmp_path / "config.json")})
+
+
+def test_zone_files(tmp_path: Path) -> None:
+    seeds = [ZONE.replace("{port}", "5070").encode(), (ROOT / "deploy" / "srv.zone").read_bytes()]
+    path = tmp_path / "zone"
+    for wire in mutated(random.Random(6), seeds, 800):
+        path.write_bytes(wire)
+        with contextlib.suppress(ZoneError):
+            load(path, ORIGIN)
--- a/tests/test_message.py
+++ b/tests/test_message.py
@@ -126,3 +126,10 @@
     assert key_of(theirs) == dialog.key
     assert dialog.in_order(theirs) and not dialog.in_order(theirs)
     assert isinstance(theirs, Message)
+
+
+def test_a_header_folded_right_after_its_colon_has_no_space_before_its_value() -> None:
+    """Found by mutation: `CSeq:` and its value on the next line (RFC 3261, 7.3.1) was answered 400."""
+    lines = ["OPTIONS sip:a@b SIP/2.0", "CSeq:", " 1 OPTIONS", "Subject: one", "\ttwo", "", ""]
+    message = parse_datagram("\r\n".join(lines).encode())
+    assert message.cseq == (1, "OPTIONS") and message.get("Subject") == "one two"
