Refuse JSON nested without end or with Infinity for a number; fuzz the thin front

Cause: RecursionError and OverflowError are no ValueError: an answer of the notice board with either went by what its reader catches and reached the loop, as did a word of the other process and a configuration file (at SIGHUP it would have stopped a debug build, at the start it ended in a trace).

Change: they are caught where the text is read; the thin front and the words between two processes are fuzzed as well.

--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -99,7 +99,7 @@
         config = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"GW_CONFIG: {error}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"GW_CONFIG: not JSON: {error}") from None
     if not isinstance(config, dict):
         raise ConfigError("GW_CONFIG: not an object")
--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -66,8 +66,8 @@
                 hosts = tuple(read_host(host) for host in pool["hosts"])
                 found.append(Notice(int(item["rev"]), bool(pool["whole"]), hosts))
         return last, found
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise BoardError(f"{type(error).__name__} {error}") from None
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise BoardError(f"{type(error).__name__} {error}") from None  # Infinity is a number to the reader
 
 
 class Told(Protocol):
@@ -249,7 +249,7 @@
                     return
                 elif isinstance(event, h11.ConnectionClosed):
                     raise BoardError("closed amid an answer")
-        except (h11.RemoteProtocolError, BoardError, ValueError) as error:
+        except (h11.RemoteProtocolError, BoardError, ValueError, RecursionError) as error:
             COUNTERS.add("board.bad_answers")
             log(f"board: {error}", "board.bad_answer")
             self._lose()
--- a/reedmount/fronts/twin.py
+++ b/reedmount/fronts/twin.py
@@ -106,7 +106,7 @@
             return
         try:
             word = json.loads(data)
-        except ValueError:
+        except (ValueError, RecursionError):  # nested deeper than any reader goes
             word = None
         if isinstance(word, dict):
             self._actor.post(word)
@@ -154,7 +154,7 @@
         COUNTERS.add(f"twin.in.{word['what']}")
         try:
             do(word)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             log(f"twin: {type(error).__name__} {error}", "twin")
 
     def _lost(self, channel: Channel) -> None:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -7,6 +7,7 @@
 import random
 import socket
 from collections.abc import Iterator
+from datetime import timedelta
 from pathlib import Path
 
 import dns.message
@@ -21,14 +22,16 @@
 from reedmount.dns.update import Master, Policy
 from reedmount.dns.zone import ZoneError, load
 from reedmount.fronts.admin import Door, View
-from reedmount.fronts.board import BoardError, read_notices
+from reedmount.fronts.board import Board, BoardError, Pool, read_notices
+from reedmount.fronts.twin import Word
 from reedmount.operator_file import read_operator
 from reedmount.sip.message import SipError, parse_datagram
 from standins.mutate import mutated
-from tests.scenario import HOST, Peer
+from tests.scenario import HOST, Peer, digits
 from tests.test_board import host, notice
 from tests.test_config import platform
 from tests.test_dns import ORIGIN, ZONE, zone_file
+from tests.test_platform import Platform
 from tests.test_sip import Sip
 
 METHODS = ("INVITE", "ACK", "BYE", "CANCEL", "OPTIONS", "REGISTER")
@@ -155,11 +158,75 @@
         try:
             read_notices(json.loads(wire))
             taken += 1
-        except (BoardError, ValueError, RecursionError):
+        except (BoardError, ValueError):
             pass
     assert taken > 50
 
 
+DEEP = b"[" * 4000
+
+
+@pytest.mark.parametrize("answer", [b'{"rev": Infinity, "notices": []}', DEEP], ids=["infinity", "deep"])
+def test_a_board_that_answers_with_no_number_or_without_end_is_asked_again(answer: bytes) -> None:
+    """An OverflowError or RecursionError went by all that was caught: a debug build ended."""
+    stage = Platform("a")
+    with socket.create_server((HOST, 0)) as listener:
+        listener.setblocking(False)
+        board = Board(stage.loop, listener.getsockname(), Pool(stage.switch))
+        asked = 0
+        for _ in range(60):
+            stage.wait(timedelta(milliseconds=20))
+            with contextlib.suppress(BlockingIOError):
+                sock, _ = listener.accept()
+                with sock:
+                    asked += 1
+                    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
+                    stage.wait(timedelta(milliseconds=20))
+        board.close()
+    assert asked >= 3
+
+
+def test_a_file_and_a_word_nested_without_end_are_refused(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_bytes(DEEP * 30)
+    with pytest.raises(ConfigError, match="not JSON"):
+        read_platform({"GW_CONFIG": str(tmp_path / "config.json")})
+    stage = Platform("a")
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    stage.callers.twin.join(near)
+    heard: list[Word] = []
+    stage.callers.twin.on("held", heard.append)
+    seeds = [json.dumps({"what": "held", "count": 3}).encode(), DEEP]
+    with far:
+        far.send(DEEP)
+        for wire in mutated(random.Random(8), seeds, 300):
+            if wire:  # an empty one is the end
+                far.send(wire[:4096])
+                stage.loop.turn(ZERO)
+        far.send(seeds[0])
+        stage.settle()
+        assert heard and heard[-1] == {"what": "held", "count": 3} and stage.callers.twin.there
+
+
+def test_the_thin_front() -> None:
+    stage = Platform("server")
+    seeds = [
+        stage.peers["caller"].request("INVITE", digits("c1"), words, b"hello\r\n").encode()
+        for words in ({"x-cos": "small", "x-timer-ms": "1500", "x-legs": "dest:1"}, {"x-cos": "great"})
+    ]
+    seeds += [stage.peers["caller"].request(method, digits("c1"), {}, b"").encode() for method in METHODS]
+    for wire in mutated(random.Random(9), seeds, 400):
+        with socket.create_connection(stage.callers.address) as sock, contextlib.suppress(ConnectionError):
+            sock.sendall(wire)
+            while stage.loop.turn(ZERO):
+                pass
+        stage.time.seconds += 0.05
+    stage.wait(timedelta(seconds=10))
+    assert not stage.switch.unanswered
+    taken = COUNTERS["calls.taken"]
+    stage.play("other send INVITE c9 x-cos=small x-timer-ms=2000 x-legs=dest:1 | hi\n wait 10")
+    assert COUNTERS["calls.taken"] == taken + 1
+
+
 @pytest.mark.parametrize("name", ["sip.toml", "srv.toml"])
 def test_operators_files(tmp_path: Path, name: str) -> None:
     seed = (ROOT / "deploy" / name).read_bytes()
