Split the SIP front by its two sides, and read lists of header values in one place

Change: the legs and actors of call servers are fronts/sip_servers.py; the front knows of them what a BYE needs. header_values and first_value share one reader of places. No change in what the program does.

--- a/reedmount/operate.py
+++ b/reedmount/operate.py
@@ -16,7 +16,8 @@
 from reedmount.dns.zone import ZoneError, load
 from reedmount.fronts.board import Board
 from reedmount.fronts.board import Pool as BoardList
-from reedmount.fronts.sip import SipFront, SipServers
+from reedmount.fronts.sip import SipFront
+from reedmount.fronts.sip_servers import SipServers
 from reedmount.net.connection import Address, text_of
 from reedmount.net.loop import Loop
 from reedmount.node import Node
--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 LONGEST = 16384
@@ -201,34 +201,28 @@
     return message
 
 
-def header_values(text: str) -> list[str]:
-    """Split a header that holds several values at the commas outside quotes and angle brackets."""
-    values, depth, quoted, begun = [], 0, False, 0
+def _places(text: str) -> Iterator[str]:
+    """The places of a list, as they stand between the commas outside quotes and angle brackets."""
+    depth, quoted, begun = 0, False, 0
     for at, char in enumerate(text):
         if char == '"':
             quoted = not quoted
         elif not quoted and char in "<>":
             depth += 1 if char == "<" else -1
         elif char == "," and not quoted and depth <= 0:
-            values.append(text[begun:at].strip())
+            yield text[begun:at]
             begun = at + 1
-    values.append(text[begun:].strip())
-    return [value for value in values if value]
+    yield text[begun:]
+
+
+def header_values(text: str) -> list[str]:
+    """The values of a header that may hold several; empty places are none (RFC 3261, 7.3.1)."""
+    return [value for place in _places(text) if (value := place.strip())]
 
 
 def first_value(text: str) -> str:
     """The first value of such a header as it stands, without what follows; '' where its place is empty."""
-    if "," not in text:
-        return text
-    depth, quoted = 0, False
-    for at, char in enumerate(text):
-        if char == '"':
-            quoted = not quoted
-        elif not quoted and char in "<>":
-            depth += 1 if char == "<" else -1
-        elif char == "," and not quoted and depth <= 0:
-            return text[:at].rstrip()
-    return text
+    return next(_places(text)).rstrip() if "," in text else text
 
 
 def parameter(value: str, name: str) -> str | None:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -14,7 +14,8 @@
 from reedmount.core.checks import COUNTERS, SAID, invariant
 from reedmount.core.ports import Listed, Setup
 from reedmount.core.switch import Switch
-from reedmount.fronts.sip import PROGRESS_MOST, SipFront, SipServers, SipSettings
+from reedmount.fronts.sip import SipFront, SipSettings
+from reedmount.fronts.sip_servers import PROGRESS_MOST, SipServers
 from reedmount.sip.message import Message, parameter, response
 from reedmount.sip.transaction import Timers
 from tests.scenario import HOST, Stage
