Answer keep-alives on TCP connections of SIP, however their bytes come

Need: RFC 5626, 4.4.1: a client that hears no CRLF within 10 s of its CRLF CRLF takes the connection for dead and registers anew; they were passed over.

Change: one answer for all that lie at the front of the stream; a part of one waits for its rest.

Measured: whole, in halves, in thirds and 500 at once: one answer each, and the next request is read as before; none was answered before.

--- a/reedmount/sip/endpoint.py
+++ b/reedmount/sip/endpoint.py
@@ -11,6 +11,7 @@
 from reedmount.core.checks import COUNTERS, log
 from reedmount.net.connection import Address, Connection, End, both, text_of
 from reedmount.net.loop import READ, Actor, Loop
+from reedmount.net.ring import Ring
 from reedmount.sip.framing import next_message
 from reedmount.sip.message import (
     LONGEST,
@@ -34,6 +35,7 @@
 )
 
 CONNECTIONS = 512
+PING, PONG = b"\r\n\r\n", b"\r\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +106,14 @@
             return
         contained("sip.stream", self._read, self._spoilt)
 
+    def _pong(self, ring: Ring) -> None:
+        """A keep-alive is answered (RFC 5626, 4.4.1); many at once by one answer: they cost little."""
+        held = ring.peek(LONGEST)
+        pings = (len(held) - len(held.lstrip(b"\r\n"))) // len(PING)
+        ring.drop(len(PING) * pings)
+        COUNTERS.add("sip.keep_alives", pings)
+        self.send(PONG)
+
     def _spoilt(self) -> None:
         """Reading has gone wrong: where the next message begins is not known."""
         self.connection.close()
@@ -114,6 +124,10 @@
     def _read(self) -> None:
         while not self.connection.ended:
             ring = self.connection.incoming
+            if ring.peek(len(PING)) == PING:
+                self._pong(ring)
+            if PING.startswith(ring.peek(len(PING))):
+                return  # nothing, or what may become a ping
             try:
                 message = next_message(ring)
                 if message is None:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
@@ -684,3 +685,26 @@
     server.write(response(asked, 200, [contact], b"b", tag="b").encode())
     stage.play("server expect ACK\n server expect nothing\n phone expect nothing")
     stage.play("phone send BYE c1\n phone expect 200 c1\n server expect BYE")
+
+
+@pytest.mark.parametrize(
+    "pieces", [[b"\r\n\r\n"], [b"\r\n", b"\r\n"], [b"\r", b"\n\r", b"\n"], [b"\r\n\r\n" * 500]],
+    ids=["whole", "halves", "thirds", "many"],
+)  # fmt: skip
+def test_a_keep_alive_on_a_connection_is_answered_however_it_comes(pieces: list[bytes]) -> None:
+    """RFC 5626, 4.4.1: a client that hears no answer within 10 s takes its connection for dead."""
+    stage = Sip("server")
+    desk = stage.peers["desk"]
+    stage.play("desk send OPTIONS o1\n desk expect 200 o1")
+    assert desk.sock is not None
+    desk.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    desk.pump = lambda: False  # type: ignore[method-assign]
+    for piece in pieces:
+        desk.sock.sendall(piece)
+        stage.settle()
+    desk.sock.settimeout(2)
+    assert desk.sock.recv(100) == b"\r\n"
+    del desk.pump
+    stage.play("desk send OPTIONS o2\n desk expect 200 o2")
+    desk.sock.sendall(b"\r\n" + desk.request("OPTIONS", "o3", {}, b"").encode())
+    stage.play("desk expect 200 o3")
