Find a name server again within 2 s of its being well: way and health apart, rests bounded

Seen with a probe: one name server that answers over UDP only was silent for 3 s and then well again; after 60 s nothing was learnt. Checked: three trials, all over TCP, since two datagrams were lost (TCP_AFTER in dns/asking.py), one in sixteen over UDP, and rests that doubled to 60 s (_rest in dns/health.py). Ruled out: the watch (it asked; 35 of 38 questions were given up without a datagram) and the socket layer (the same try by hand came through).

Change: what is known of a way (UDP, TCP) is kept apart from the health of the name server; a trial of one that failed goes over both; a rest is bounded at 1.2 s where nobody else answers and 3.2 s beside others, by the state of the moment; a trial waits four times what the name server took before; srv.retry_most_ms is 10 s by default, not 30.

Tests play each case with its bound, and a drain by SRV heard after outages of 3 and 30 s.

--- a/reedmount/dns/asking.py
+++ b/reedmount/dns/asking.py
@@ -6,21 +6,14 @@
 import secrets
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
-from enum import Enum
 
 from reedmount.dns.answers import Fault
-from reedmount.dns.health import NameServers
+from reedmount.dns.health import TCP_AFTER, NameServers, Over
 from reedmount.net.connection import Address
 
-TCP_AFTER = 2  # datagrams lost
-UDP_AGAIN = 1 / 16  # of the questions to a name server whose datagrams were lost
-
-
-class Over(Enum):
-    """How a try goes."""
-
-    UDP = "udp"
-    TCP = "tcp"
+WAY_FAULTS = frozenset({Fault.LOST, Fault.UNREACHABLE, Fault.HALF})  # nothing came back: the way, or the NS
+TRIAL_LEAST = timedelta(milliseconds=100)  # a trial waits four times what the name server took, and no less
+TRIAL_TIMES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +67,8 @@
     _passed: set[Address] = field(default_factory=set)  # have had their turn in this round
     _plain: set[Address] = field(default_factory=set)  # do not know EDNS
     _again: tuple[Address, Over] | None = None  # the same one, another way
+    _trials: set[Address] = field(default_factory=set)  # that had failed when this question tried them
+    _ways: dict[Address, set[Over]] = field(default_factory=dict)  # that were tried, of each
     _rounds: int = 0
 
     @property
@@ -90,8 +85,11 @@
             return self._try(now, server, over)
         picked = self.health.pick(now, self._passed)
         if picked is not None:
-            self._passed.add(picked)
-            return self._try(now, picked, self._way(picked))
+            server, trial = picked
+            self._passed.add(server)
+            if trial:
+                self._trials.add(server)
+            return self._try(now, server, self._way(server))
         if self._passed:
             # All had their turn: another round after a pause.
             self._passed.clear()
@@ -106,38 +104,52 @@
     def failed(self, now: datetime, tried: Try, fault: Fault) -> None:
         """A try brought nothing that counts."""
         self.last = fault
-        if fault is Fault.CUT and tried.over is Over.UDP:
-            self.health.answered(tried.server, now - tried.began)
-            self._again = (tried.server, Over.TCP)
-        elif fault is Fault.FORMERR and tried.edns:
+        server, over = tried.server, tried.over
+        if fault is Fault.CUT and over is Over.UDP:
+            self.health.way(now, server, over, came_through=True)
+            self.health.answered(server, now - tried.began)
+            self._again = (server, Over.TCP)
+            return
+        if fault is Fault.FORMERR and tried.edns:
             # A name server from before EDNS (RFC 6891, section 6.2.2).
-            self._plain.add(tried.server)
-            self._again = (tried.server, tried.over)
-        else:
-            self.health.failed(now, tried.server)
-            if fault is Fault.LOST and tried.over is Over.UDP:
-                self._lost[tried.server] = self._lost.get(tried.server, 0) + 1
-                self.health.datagram(tried.server, lost=True)
+            self._plain.add(server)
+            self._again = (server, over)
+            return
+        lost = fault in WAY_FAULTS
+        self.health.way(now, server, over, came_through=not lost)
+        self.health.failed(now, server)
+        if lost and over is Over.UDP:
+            self._lost[server] = self._lost.get(server, 0) + 1
+        if lost and server in self._trials and over.other not in self._ways.get(server, ()):
+            # A trial looks at both ways: one that refuses TCP or drops datagrams is well over the other.
+            self._again = (server, over.other)
 
     def answered(self, now: datetime, tried: Try) -> None:
         """A try brought an answer that counts."""
-        if tried.over is Over.UDP:
-            self.health.datagram(tried.server, lost=False)
+        self.health.way(now, tried.server, tried.over, came_through=True)
         self.health.answered(tried.server, now - tried.began)
 
     def _way(self, server: Address) -> Over:
-        """TCP where datagrams get lost: of this question's, or before it with this name server."""
+        """TCP where datagrams get lost: of this question's, unless TCP fails there as well; else as it went
+        before with this name server."""
         known = self.health.all.get(server)
-        if known is not None and known.datagrams_lost >= TCP_AFTER and not self._lost.get(server):
-            return Over.UDP if self.chance.random() < UDP_AGAIN else Over.TCP
-        repeated = sum(self._lost.values()) >= TCP_AFTER
-        return Over.TCP if repeated and self._lost.get(server) else Over.UDP
+        if known is None:
+            return Over.UDP
+        repeated = sum(self._lost.values()) >= TCP_AFTER and self._lost.get(server)
+        if repeated and not known.ways[Over.TCP].failed:
+            return Over.TCP
+        return known.way(self.chance)
 
     def _try(self, now: datetime, server: Address, over: Over) -> Try:
         self.tries += 1
+        self._ways.setdefault(server, set()).add(over)
         wait = self.patience.tcp
         if over is Over.UDP:
             wait = min(self.patience.first * 2.0 ** min(self._rounds, 8), self.patience.longest)
             wait *= self.chance.uniform(0.8, 1.2)
+        known = self.health.all.get(server)
+        if server in self._trials and known is not None:
+            # One that has failed costs the question that tries it little: it answered in so much before.
+            wait = min(wait, max(TRIAL_LEAST, TRIAL_TIMES * timedelta(seconds=known.taken_s)))
         wait = min(wait, self.ends - now)
         return Try(server, over, secrets.randbelow(65536), server not in self._plain, wait, now)
--- a/reedmount/dns/resolver.py
+++ b/reedmount/dns/resolver.py
@@ -13,9 +13,9 @@
 
 from reedmount.core.checks import COUNTERS
 from reedmount.dns.answers import Answer, Fault, Onwards, meaning
-from reedmount.dns.asking import Asking, GivenUp, Over, Patience, Pause, Try
+from reedmount.dns.asking import Asking, GivenUp, Patience, Pause, Try
 from reedmount.dns.cache import Bounds, Cache
-from reedmount.dns.health import NameServers
+from reedmount.dns.health import NameServers, Over
 from reedmount.dns.reader import Question, ReadError, Reply, head, query, read
 from reedmount.net.connection import Address, Connection, End, family_of
 from reedmount.net.loop import READ, Loop, Timer
--- a/reedmount/dns/watch.py
+++ b/reedmount/dns/watch.py
@@ -30,7 +30,7 @@
     """After a round that failed: with each failure in a row twice as long, up to a bound."""
 
     first: timedelta = timedelta(seconds=2)
-    longest: timedelta = timedelta(seconds=30)
+    longest: timedelta = timedelta(seconds=10)  # bounds how late a drain is heard after an outage
 
     def after(self, failures: int, chance: random.Random) -> timedelta:
         """The next pause."""
--- a/reedmount/operator_file.py
+++ b/reedmount/operator_file.py
@@ -234,7 +234,7 @@
         first=table.span("try_ms", 400, 10, 10_000),
         tcp=table.span("tcp_ms", 2000, 10, 30_000),
     )
-    retry = Retry(table.span("retry_ms", 2000, 100), table.span("retry_most_ms", 30_000, 100))
+    retry = Retry(table.span("retry_ms", 2000, 100), table.span("retry_most_ms", 10_000, 100))
     return SrvSettings(
         names=tuple(_srv_name(text, table.path) for text in dict.fromkeys(names)),
         resolver=ResolverSettings(tuple(dict.fromkeys(servers)), patience, bounds),
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -12,6 +12,7 @@
 from reedmount.core.checks import COUNTERS, SAID
 from reedmount.core.lifecycle import Phase
 from reedmount.core.ports import Offer, Progress
+from reedmount.dns.health import ALONE_REST, JITTER
 from reedmount.net.connection import text_of
 from reedmount.pool.rule import Rule
 from reedmount.pool.words import Claim, Word
@@ -86,6 +87,26 @@
     assert callers.share(site.now - 12 * S, site.now) > 0.98
 
 
+@pytest.mark.parametrize("outage_s", [3, 30])
+def test_a_drain_by_srv_is_heard_soon_after_an_outage_of_a_name_server_that_refuses_tcp(
+    tmp_path: Path, outage_s: int
+) -> None:
+    """Found by a probe: after 3 s of silence a name server reached over UDP alone was not asked for long."""
+    site = Site(tmp_path, board=False, name_servers=1)
+    site.names[0].refuse_tcp()
+    site.run(S)
+    assert len(site.serving()) == 3
+    site.plan("silence")
+    site.publish(site.servers[0])
+    site.run(outage_s * S, 50 * MS)
+    site.plan("good")
+    back = site.seconds
+    while site.servers[0].address in site.serving() and site.seconds < back + 60:
+        site.run(50 * MS, 50 * MS)
+    # The watch's longest pause in the site's file (2 s) with its jitter, and the resolver's bound alone.
+    assert site.seconds - back <= 2 * JITTER[1] + ALONE_REST.total_seconds() * JITTER[1] + 0.5
+
+
 @pytest.mark.parametrize("outage", [30, 600])
 def test_a_resolver_that_answers_each_question_after_30_s(tmp_path: Path, outage: int) -> None:
     """For 30 s and for 10 min: what it said last goes on, and nothing it says late is taken."""
