Count answers past their caller's time apart; three hard cases of many instances as tests

Need: `answered.overdue` counted what came after our own instant, 120 ms before the caller leaves, together with what the caller never hears. Change: a call carries when its caller leaves (Offer.leaves_at); `answered.after_caller` and a kind of log lines of its own say so, for all final answers (core/switch.py). In the fleet model the list may come later at half of the instances.

--- a/reedmount/core/ports.py
+++ b/reedmount/core/ports.py
@@ -22,6 +22,7 @@
     description: bytes
     redialled: bool = False
     was_cut: bool = False
+    leaves_at: datetime | None = None  # when its caller gives up, which is later than ``answer_by``
 
 
 class Progress(Enum):
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -175,6 +175,7 @@
         self._tell_attempt(call.server, i.Outcome.COMPLETED)
         self._let_class_go(call.offer.call_class)
         COUNTERS.add("answered.stands")
+        self._look_at_the_clock(call, "stands")
         call.caller.answered(name, description)
         self._inbox.post(i.CallStands(call.number, call.attempts - 1, call.server, span_micros(delay)))
         return True
@@ -324,14 +325,23 @@
             return  # its caller left while the answer was on its way
         invariant(call.out is None, "no_answer_with_an_attempt_out")
         COUNTERS.add(f"answered.{what}")
-        late = self._clock.now() - call.offer.answer_by
-        if late > ZERO:
-            COUNTERS.add("answered.overdue")
-            held = self._clock.now() - call.taken_at
-            log(f"overdue: {call.offer.name} {what} {late} late, taken {held} ago", "overdue")
+        self._look_at_the_clock(call, what)
         self._settle(call)
         answer(call)
 
+    def _look_at_the_clock(self, call: Call, what: str) -> None:
+        """Count an answer past our own instant (``answered.overdue``), and one past its caller's, which is
+        a call that may be lost (``answered.after_caller``); each kind has lines of its own in the log."""
+        now, offer = self._clock.now(), call.offer
+        if now <= offer.answer_by:
+            return
+        gone = offer.leaves_at is not None and now > offer.leaves_at
+        COUNTERS.add("answered.after_caller" if gone else "answered.overdue")
+        late = now - (offer.leaves_at if gone and offer.leaves_at is not None else offer.answer_by)
+        kind = "after its caller's time" if gone else "overdue"
+        held = now - call.taken_at
+        log(f"{kind}: {offer.name} {what} {late} late, taken {held} ago, attempts {call.attempts}", kind)
+
     # --- calls ---
 
     def _tell_attempt(self, server: str, outcome: i.Outcome | None) -> None:
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -311,13 +311,15 @@
         name = f"sip-{self.token()}"
         leg = self.names[name] = Leg(self, transaction, name, self.token())
         self._asked[leg.asked] = self._asking[transaction] = leg
+        leaves_at = self.loop.clock.now() + wait
         offer = Offer(
             name=name,
             call_class=kind,
             number=number,
             first_choice=self.first_choice(number),
-            answer_by=self.loop.clock.now() + wait - ANSWER_EARLY,
+            answer_by=leaves_at - ANSWER_EARLY,
             description=message.body,
+            leaves_at=leaves_at,
         )
         if not self.switch.offer(offer, leg):
             leg.failed(name)
--- a/reedmount/fronts/thin.py
+++ b/reedmount/fronts/thin.py
@@ -130,4 +130,5 @@
         description=message.body,
         redialled=message.get("X-Reattempt") not in (None, "", "0"),
         was_cut=within(legs, "again", 0, 0, 1) == 1,
+        leaves_at=now + wait,
     )
--- a/standins/fleet/fleet.py
+++ b/standins/fleet/fleet.py
@@ -83,6 +83,7 @@
         notice_s = late_s or self._rng.uniform(*self.day.net.news_s)
         for instance in self.instances:
             span = notice_s + self._rng.uniform(0.0, 0.3)
+            span += self.day.net.half_later_s * (instance.number % 2)
             self.after(span, lambda one=instance: one.news(version, entries))  # type: ignore[misc]
 
     def run(self) -> Result:
--- a/standins/fleet/settings.py
+++ b/standins/fleet/settings.py
@@ -83,6 +83,7 @@
     near_s: Span = (0.0042, 0.007)
     far_s: Span = (0.0088, 0.024)
     news_s: Span = (0.5, 5.0)
+    half_later_s: float = 0.0  # by so much later every other instance hears of the list
     lanes_most: int = 8  # connections of an instance to a call server
     lanes_in_all: int = 48
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from reedmount import interface as i
+from reedmount.control import Controller
 from standins.fleet.figures import Result
 from standins.fleet.fleet import Fleet
-from standins.fleet.settings import Callers, Day, days
+from standins.fleet.settings import Callers, Day, Net, days, module_settings
 
 
 def play(name: str, seed: int = 1, **changes: object) -> Result:
@@ -59,6 +61,44 @@
     assert uneven.unanswered == 0 and uneven.service > 0.85
 
 
+def test_flags_that_were_raised_in_one_instant_are_not_lowered_in_one() -> None:
+    """200 instances are turned away by one full server at once, each with a call that waits for it."""
+    settings, back = module_settings(Day(instances=200)), []
+    gap_us = settings.resend_gap_us
+    for seed in range(200):
+        module = Controller(settings, seed)
+        only = (i.ServerEntry("s", 0, i.ServerState.SERVING, 0),)
+        module.handle(0, i.ServerList(1, i.ListKind.WHOLE, only))
+        until = 20 * gap_us
+        assert i.SendSetup(1, "s", until) in module.handle(
+            0, i.NewCall(1, "quote-call", None, "1", 0, until, False, False)
+        )
+        report = i.LoadReport()
+        full = i.AttemptEnded(1, 0, "s", i.Outcome.FULL, False, 9000, i.Cause.PROCESSOR_FULL, report)
+        assert not [a for a in module.handle(9000, full) if isinstance(a, i.SendSetup)]
+        # A call a tick on, so that one is held whenever the flag drops.
+        for now in range(9000, until, 10_000):
+            call = i.NewCall(now, "quote-call", None, "1", 0, now + until, False, False)
+            if any(isinstance(a, i.SendSetup) for a in module.handle(now, call)):
+                back.append(now)
+                break
+    assert len(back) == 200
+    within_50_ms = max(sum(at <= other < at + 50_000 for other in back) for at in back)
+    assert within_50_ms < 200 / 4, "they come back as a herd"
+
+
+def test_instances_that_meet_a_server_first_while_it_is_cold_push_nobody_over() -> None:
+    """Six in ten servers are replaced, and while they are cold seven in ten instances start anew."""
+    met = play("join", troubles=(("replace", 8.0, 0.6), ("deaths", 15.0, 0.7)))
+    assert met.fell == 0 and met.service > 0.4
+
+
+def test_a_list_that_comes_later_at_half_of_the_instances_pushes_nobody_over() -> None:
+    """Half of them see the new servers 3 s after the others, and send to the old ones until then."""
+    late = play("join", net=Net(half_later_s=3.0))
+    assert late.fell == 0 and late.unanswered == 0 and late.service > 0.5
+
+
 def test_a_day_is_checked_by_what_its_servers_saw() -> None:
     """Sends of all instances and set-ups of all servers are the same ones, but for those on their way."""
     fleet = Fleet(Day(instances=10, servers=4, length_s=3.0), 1)
