Hand the module the reports of one turn as one event: busy instances stalled for 0.2 s

That is all call servers telling their free lines at once; each report was an event of its own, and each event of the module goes over all servers and all held calls (_watch_unanswered, _serve_held in control.py). Ruled out: the collector (0 ms in all of these turns).

--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -216,8 +216,9 @@
                 self._ticking = False
                 for call in list(self._held.values()):
                     self._end_if_hopeless(now, call)
-            case i.ProbeAnswered():
-                self._on_report(now, self._servers.get(event.server), event.report)
+            case i.Reports():
+                for server, report in event.reports:
+                    self._on_report(now, self._servers.get(server), report)
         self._watch_unanswered(now)
         self._serve_held(now)
         self._keep_ticking()
@@ -465,8 +466,7 @@
     def _on_reading(self, now: int, server: Server, wait_us: int) -> None:
         old = server.gauge_us if server.reading_at_us >= 0 else wait_us
         server.gauge_us = SMOOTHING * wait_us + (1 - SMOOTHING) * old
-        server.reading_us = wait_us
-        server.reading_at_us = now
+        server.reading_us, server.reading_at_us = wait_us, now
         if server.gauge_us > self._high_us and not server.flagged:
             server.failures += 1
             self._raise_flag(now, server)
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -53,6 +53,7 @@
         self._orphans: list[Callable[[str, int], None]] = []
         self._over: dict[str, None] = {}  # names that are over: a server repeats its releases
         self._unsent: dict[int, datetime] = {}  # calls of which no attempt went out yet, oldest first
+        self._reports: dict[str, i.LoadReport] = {}  # of this turn
         self.on_attempt: Callable[[str, i.Outcome | None], None] | None = None  # None: it was sent
 
     def attach(self, servers: Servers) -> None:
@@ -236,8 +237,14 @@
                 self._end_standing(call, i.Outcome.RESET, NO_REPORT)
 
     def reported(self, server: str, report: i.LoadReport) -> None:
-        """A server told of its free lines unasked."""
-        self._inbox.post(i.ProbeAnswered(server, True, report))
+        """A server told of its free lines unasked; those that tell in one turn go to the module as one."""
+        if not self._reports:
+            self._loop.soon(self._tell_reports)
+        self._reports[server] = report
+
+    def _tell_reports(self) -> None:
+        reports, self._reports = self._reports, {}
+        self._inbox.post(i.Reports(tuple(reports.items())))
 
     def pool(self, version: int, kind: i.ListKind, entries: list[Listed]) -> None:
         """News of the pool: to the server side first, so that nothing queued there goes to a drain."""
--- a/reedmount/interface.py
+++ b/reedmount/interface.py
@@ -182,12 +182,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ProbeAnswered:
-    """A probe's answer, or an unasked word of a server's free lines."""
+class Reports:
+    """What servers told of themselves, unasked or to a probe. All that came at once are one event: each event
+    costs the module a look at all that it holds, and many servers tell at the same instant."""
 
-    server: str
-    answered: bool
-    report: LoadReport
+    reports: tuple[tuple[str, LoadReport], ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,7 +198,7 @@
 
 
 Event = (
-    ServerList | NewCall | CallStands | AttemptEnded | CallerGone | TimerFired | ProbeAnswered | PeerNote
+    ServerList | NewCall | CallStands | AttemptEnded | CallerGone | TimerFired | Reports | PeerNote
 )
 
 
--- a/reedmount/simhost.py
+++ b/reedmount/simhost.py
@@ -241,12 +241,12 @@
     return i.TimerFired(needed(values[0], "handle"))
 
 
-def read_probed(values: list[str]) -> i.ProbeAnswered:
+def read_probed(values: list[str]) -> i.Reports:
     """PONG."""
     spent, verdict, server, usage = values
     whole(spent, "spent")
-    answered = word(OUTCOMES, verdict, "verdict") is i.Outcome.COMPLETED
-    return i.ProbeAnswered(needed(server, "server"), answered, read_report(usage))
+    word(OUTCOMES, verdict, "verdict")
+    return i.Reports(((needed(server, "server"), read_report(usage)),))
 
 
 def read_note(values: list[str]) -> i.PeerNote:
--- a/standins/fleet/instance.py
+++ b/standins/fleet/instance.py
@@ -268,7 +268,7 @@
     def hear(self, server: Processor) -> None:
         """A call server tells its free lines, where a connection to it is open."""
         if self.alive and server.name in self.held:
-            self._event(i.ProbeAnswered(server.name, True, server.report))
+            self._event(i.Reports(((server.name, server.report),)))
 
 
 class _Waiting(SetUp):
--- a/tests/test_flag_and_route.py
+++ b/tests/test_flag_and_route.py
@@ -96,7 +96,7 @@
     bench = with_pool("a", "b")
     bench.report("a", free=0)
     assert bench.where(bench.call(first=1)) == "b"
-    bench.feed(i.ProbeAnswered("a", True, i.LoadReport(free_lines=3.0)))
+    bench.feed(i.Reports((("a", i.LoadReport(free_lines=3.0)),)))
     assert bench.where(bench.call(first=1)) == "a"
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -435,3 +435,26 @@
         wait 50
         late expect nothing
     """)
+
+
+def test_servers_that_tell_their_lines_in_one_turn_cost_the_module_one_event() -> None:
+    """28 of them told at once, each an event that goes over all held calls: turns of 0.2 s, answers late."""
+    stage = Platform("a", "b", "c")
+    seen: list[i.Event] = []
+    handle = stage.switch._module.handle
+
+    def noted(now: int, event: i.Event) -> list[i.Action]:
+        seen.append(event)
+        return handle(now, event)
+
+    stage.switch._module.handle = noted  # type: ignore[method-assign]
+    for lines in (3.0, 5.0):  # of one server the latest word counts
+        for name in "abc":
+            stage.switch.reported(name, i.LoadReport(free_lines=lines))
+    stage.settle()
+    latest = i.LoadReport(free_lines=5.0)
+    assert seen == [i.Reports((("a", latest), ("b", latest), ("c", latest)))]
+    stage.switch.reported("b", i.LoadReport(free_lines=1.0))
+    stage.settle()
+    assert seen[1:] == [i.Reports((("b", i.LoadReport(free_lines=1.0)),))]
+    stage.loop.close()
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -17,7 +17,7 @@
 
 
 def free(bench: Bench, server: str, lines: float) -> None:
-    bench.feed(i.ProbeAnswered(server, True, i.LoadReport(free_lines=lines, lines=200.0)))
+    bench.feed(i.Reports(((server, i.LoadReport(free_lines=lines, lines=200.0)),)))
 
 
 def placed(bench: Bench, calls: int, first: int = 1) -> int:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -167,7 +167,7 @@
     bench.feed(i.CallerGone(99))
     bench.feed(i.TimerFired("stale"))
     bench.feed(i.PeerNote(3, b"noise"))
-    bench.feed(i.ProbeAnswered("nowhere", False, i.LoadReport()))
+    bench.feed(i.Reports((("nowhere", i.LoadReport()),)))
     report = i.LoadReport(wait_us=1)
     bench.feed(i.AttemptEnded(99, 0, "nowhere", i.Outcome.RESET, True, 1, i.Cause.NONE, report))
     assert not [action for _, action in bench.log if not isinstance(action, i.SetTimer)]
