Membership as a pure state machine: SWIM with Lifeguard, repair, standing

Need: each border controller is alone; nobody knows who is there, who failed, or who may decide while they disagree. Change: `reedmount/members/`: records in one total order, datagrams of at most 256 bytes (versioned, checked, each fault counted), probes with relays and NACKs, dynamic suspicion, local health, own stalls noticed, gossip bounded a record, repair by digests of 32 buckets, standing by majorities of rosters, damping of what flaps.

--- /dev/null
+++ b/reedmount/members/outbox.py
@@ -0,0 +1,116 @@
+"""What goes out: datagrams with as much news as has room, the record that its receiver must know of first."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from reedmount.core.checks import COUNTERS
+from reedmount.members.record import Record, State
+from reedmount.members.spread import Spread
+from reedmount.members.standing import Standing
+from reedmount.members.view import Change, View
+from reedmount.members.wire import Kind, Message, write
+from reedmount.net.connection import Address
+
+NEWS_MOST = 12  # records that could have room in a datagram
+PAGES = 3  # datagrams of records in one answer
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A datagram to go out."""
+
+    to: Address
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Stood:
+    """Our standing is another one."""
+
+    old: Standing
+    new: Standing
+
+
+Output = Send | Change | Stood
+
+
+class Outbox:
+    """Datagrams and news for the owner, in order; it knows what we say of ourselves."""
+
+    def __init__(self, group: int, me: Record, view: View, spread: Spread) -> None:
+        self.me = me
+        self._group, self._view, self._spread = group, view, spread
+        self._out: list[Output] = []
+
+    def add(self, output: Output) -> None:
+        """Tell the owner this."""
+        self._out.append(output)
+
+    def taken(self) -> list[Output]:
+        """All that there is, once."""
+        out, self._out = self._out, []
+        return out
+
+    def send(
+        self,
+        kind: Kind,
+        to: Record,
+        seq: int = 0,
+        target: str = "",
+        buckets: bytes = b"",
+        first: tuple[Record, ...] = (),
+    ) -> None:
+        """A datagram to a member: what it has to know of itself first, then what is asked for, then news."""
+        self.send_to(kind, to.address, seq, target, buckets, (*self._told(to), *first))
+
+    def send_to(
+        self,
+        kind: Kind,
+        to: Address,
+        seq: int = 0,
+        target: str = "",
+        buckets: bytes = b"",
+        first: tuple[Record, ...] = (),
+    ) -> None:
+        """A datagram to an address of which no more is known."""
+        news = [*first, *self._news(first)]
+        data, sent = write(self._group, self._message(kind, seq, target, buckets), news)
+        self._spread.sent(news[len(first) : sent], len(self._view.there) + 1)
+        self._post(to, data)
+
+    def send_pages(self, to: Record, records: list[Record]) -> None:
+        """As many of these records as a few datagrams hold."""
+        told = self._told(to)
+        for _ in range(PAGES):
+            if not records and not told:
+                return
+            data, sent = write(self._group, self._message(Kind.STATE), [*told, *records])
+            self._post(to.address, data)
+            records, told = records[max(0, sent - len(told)) :], ()
+
+    def _post(self, to: Address, data: bytes) -> None:
+        COUNTERS.add("members.sent")
+        COUNTERS.add("members.sent_bytes", len(data))
+        self._out.append(Send(to, data))
+
+    def _message(self, kind: Kind, seq: int = 0, target: str = "", buckets: bytes = b"") -> Message:
+        return Message(kind, seq, self.me, self._view.digest.to_bytes(8, "big"), target, buckets)
+
+    def _told(self, to: Record) -> tuple[Record, ...]:
+        """The buddy system: who is suspected, or outdone by what we hold, is the one who can refute it."""
+        known = self._view.get(to.name)
+        if known is not None and (known.state is not State.ALIVE or known.rank > to.rank):
+            return (known,)
+        return ()
+
+    def _news(self, but: tuple[Record, ...]) -> Iterable[Record]:
+        names = {record.name for record in but}
+        news = []
+        for record in self._spread.waiting():
+            if record.name not in names:
+                news.append(record)
+            if len(news) == NEWS_MOST:
+                break
+        return news
--- /dev/null
+++ b/reedmount/members/protocol.py
@@ -0,0 +1,477 @@
+"""The membership protocol as a state machine: ``(now, datagram or time) -> datagrams and changes``. No I/O.
+
+SWIM (Das, Gupta, Motivala 2002) with Lifeguard (Dadgar, Phillips, Currey 2018): docs/design/membership.md has
+what was chosen and why. The owner gives it datagrams (``heard``), calls ``wake`` when ``due_at`` has come and
+carries out what both return. All times are the owner's clock; none is ever compared with another member's.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+
+from msgspec.structs import replace
+
+from reedmount.core.checks import COUNTERS
+from reedmount.members.damping import Damping
+from reedmount.members.dues import Dues
+from reedmount.members.health import LocalHealth
+from reedmount.members.outbox import Outbox, Output, Stood
+from reedmount.members.prober import RELAYED_MOST, Probe, Relayed, Round
+from reedmount.members.record import WORD, Record, State
+from reedmount.members.settings import Timing
+from reedmount.members.spread import Spread
+from reedmount.members.standing import Count, Roster, Standing
+from reedmount.members.suspicion import Suspicion
+from reedmount.members.view import Change, View
+from reedmount.members.wire import (
+    Kind,
+    Message,
+    WireError,
+    group_of,
+    pack_buckets,
+    read,
+    unpack_buckets,
+)  # fmt: skip
+from reedmount.net.connection import Address
+
+JOIN_HEARD = 5  # others at first hand, or a majority where that is less: then we are no newcomer any more
+JOIN_ASKED = 8  # that are asked at once who is there
+
+
+class Protocol:
+    """One member. It owns its view, its suspicions and its probes; a restart loses all of them, and the
+    others give the view back."""
+
+    def __init__(
+        self,
+        timing: Timing,
+        group: str,
+        me: Record,
+        rosters: tuple[Roster, ...],
+        ways_in: tuple[Address, ...],
+        seed: int,
+        guests: bool = True,
+    ) -> None:
+        """``rosters``: ours, then those before it that others may still go by. ``ways_in``: addresses to join
+        by. ``guests``: whether members outside the rosters are taken (they never count)."""
+        self.timing, self.group = timing, group_of(group)
+        self.health = LocalHealth()
+        self.damping = Damping()
+        self._chance = random.Random(seed)
+        self._kept = frozenset[str]().union(*(roster.names for roster in rosters))
+        self._guests = guests
+        self._ways_in = tuple(way for way in dict.fromkeys(ways_in) if way != me.address)
+        self.view = View(me.name, self._kept, timing.forget)
+        self.count = Count(me.name, rosters)
+        self.standing = Standing.JOINING
+        self.left = False
+        self._spread = Spread(timing.times)
+        self._box = Outbox(self.group, replace(me, roster=rosters[0].id), self.view, self._spread)
+        self._round = Round(self.view, self._chance)
+        self._dues = Dues()
+        self._seq = self._chance.randrange(WORD)
+        self._probes: dict[int, Probe] = {}
+        self._relayed: dict[int, Relayed] = {}
+        self._suspicions: dict[str, Suspicion] = {}
+        self._first_hand: set[str] = set()  # heard since our start; only until there are enough
+        self._joined = False
+        self._restand = True  # what the standing goes by has changed
+        self._periods = 0
+        self._gossiping = False
+        self._differs = 0  # periods in a row in which a digest was another one and nothing was on its way
+        self._repaired = False  # in this period
+
+    # --- what the owner calls ---
+
+    def start(self, now: datetime) -> list[Output]:
+        """Begin: ask who is there, and probe from now on, out of step with the others."""
+        self._say(now, self.me)
+        self._join(now)
+        self._dues.at(now + self.timing.interval * self._chance.random(), self._period)
+        return self._done()
+
+    def heard(self, now: datetime, source: Address, data: bytes) -> list[Output]:
+        """A datagram has come. What cannot be taken gets a counter (``members.dropped.*``), nothing else."""
+        self._mind_the_gap(now)
+        try:
+            message = read(self.group, data)
+        except WireError as fault:
+            COUNTERS.add(f"members.dropped.{fault.reason}")
+            return self._done()
+        if self._acceptable(message, source):
+            COUNTERS.add("members.heard")
+            self._take(now, message)
+        return self._done()
+
+    def wake(self, now: datetime) -> list[Output]:
+        """``due_at`` has come."""
+        self._mind_the_gap(now)
+        self._dues.run(now)
+        return self._done()
+
+    @property
+    def due_at(self) -> datetime | None:
+        """When ``wake`` is to be called."""
+        return self._dues.next_at
+
+    def leave(self, now: datetime) -> list[Output]:
+        """Say that we go, for good: nobody has to find out. What comes after it is answered no more."""
+        self.left = True
+        self._say(now, replace(self.me, incarnation=self.me.incarnation + 1, state=State.LEFT))
+        self._gossip_to(self.view.there.draw(self._chance, 2 * self.timing.fanout))
+        return self._done()
+
+    def describe(self, now: datetime, zone: str, build: int) -> list[Output]:
+        """Say this of ourselves from now on."""
+        self._say(now, replace(self.me, incarnation=self.me.incarnation + 1, zone=zone, build=build))
+        return self._done()
+
+    @property
+    def me(self) -> Record:
+        """What we say of ourselves."""
+        return self._box.me
+
+    def _say(self, now: datetime, me: Record) -> None:
+        self._box.me = me
+        self.view.take(now, me)
+        self._spread.put(me)
+        self._wake_gossip(now)
+
+    # --- what has come ---
+
+    def _acceptable(self, message: Message, source: Address) -> bool:
+        sender = message.sender
+        reason = None
+        if self.left:
+            reason = "left"
+        elif sender.name == self.me.name:
+            reason = "own_name"  # of a life before this one, or a second process under our name
+        elif sender.address != source:
+            reason = "source"
+        elif not self._guests and sender.name not in self._kept:
+            reason = "stranger"
+        elif not self.view.believable(sender):
+            reason = "jump"
+        if reason is not None:
+            COUNTERS.add(f"members.dropped.{reason}")
+        return reason is None
+
+    def _take(self, now: datetime, message: Message) -> None:
+        sender = message.sender
+        self._learn(now, sender)
+        if not self._joined and sender.there:
+            self._first_hand.add(sender.name)
+            self._look_whether_joined()
+        # A page of a table tells a newcomer what all others know: it passes on what was other news to it.
+        page = message.kind == Kind.STATE
+        for record in message.records:
+            if record.name == self.me.name:
+                self._about_me(now, record)
+            elif (self._guests or record.name in self._kept) and self.view.believable(record):
+                self._learn(now, record, pass_on=not page or self.view.get(record.name) is not None)
+            else:
+                COUNTERS.add("members.records_refused")
+        match message.kind:
+            case Kind.PING:
+                self._box.send(Kind.ACK, sender, seq=message.seq, target=self.me.name)
+            case Kind.ACK:
+                self._answered(message)
+            case Kind.RELAY:
+                self._relay(now, message)
+            case Kind.NACK:
+                probe = self._probes.get(message.seq)
+                if probe is not None:
+                    probe.asked.discard(sender.name)
+            case Kind.JOIN:
+                self._tell_all(sender)
+            case Kind.BUCKETS:
+                self._mend(message)
+            case Kind.STATE | Kind.GOSSIP:
+                pass  # their records were all
+            case _:
+                COUNTERS.add("members.kind_unknown")  # of a later version that we may read
+                return
+        self._compare(message)
+
+    def _learn(self, now: datetime, record: Record, pass_on: bool = True) -> None:
+        """Merge one claim about another member, and do what follows from it."""
+        known = self.view.get(record.name)
+        change = self.view.take(now, record)
+        if change is None:
+            suspicion = self._suspicions.get(record.name)
+            same = known is not None and record.rank == known.rank
+            if same and suspicion is not None and suspicion.confirmed(record.by):
+                self._spread.put(record)
+                self._due_death(record.name, suspicion)
+            return
+        if pass_on:
+            self._spread.put(record)
+            self._wake_gossip(now)
+        self._changed(now, change)
+
+    def _changed(self, now: datetime, change: Change) -> None:
+        old, new = change.old, change.new
+        self._restand = True
+        self._box.add(change)
+        self.count.changed(change.name, old, new)
+        if new is None:
+            self._suspicions.pop(change.name, None)
+            return
+        name = new.name
+        if new.there and (old is None or not old.there):
+            self._round.joined(name)
+        if old is not None and old.state is State.DEAD and new.there:
+            COUNTERS.add("members.came_back")
+            if self.damping.came_back(now, name):
+                COUNTERS.add("members.damped")
+                self.count.damp(name, True, new.state)
+        elif old is not None and old.there and new.there and old.life != new.life:
+            COUNTERS.add("members.restarted")
+        if new.state is State.SUSPECT:
+            self._begin_suspicion(now, new)
+        else:
+            self._suspicions.pop(name, None)
+        if new.state is State.DEAD:
+            COUNTERS.add("members.dead")
+
+    def _about_me(self, now: datetime, record: Record) -> None:
+        """Somebody claims something of us. Where it would win over what we say, we raise our incarnation."""
+        if record.rank <= self.me.rank or self.left:
+            return
+        if not self.view.believable(record):
+            COUNTERS.add("members.dropped.jump")
+            return
+        if record.life == self.me.life and record.state is not State.ALIVE:
+            self.health.worse()
+            COUNTERS.add("members.refuted")
+        elif record.life != self.me.life and self._joined:
+            COUNTERS.add("members.twin")  # a process before us would have been met while we joined
+        self._say(now, replace(self.me, incarnation=record.incarnation + 1))
+
+    # --- probes ---
+
+    def _period(self, now: datetime) -> None:
+        """Once an interval, longer where we do badly: probe the next, at times one that is dead; sweep."""
+        self._periods += 1
+        self._repaired = False
+        self._dues.at(now + self.health.scaled(self.timing.interval), self._period)
+        if self.left:
+            return
+        name = self._round.next()
+        if name is not None:
+            self._probe(now, name)
+        if self._periods % self.timing.dead_every == 0 and len(self.view.dead):
+            self._probe(now, self.view.dead.draw(self._chance, 1)[0])
+        if not self._joined:
+            self._join(now)
+        for change in self.view.forgotten(now):
+            self._changed(now, change)
+        for released in self.damping.sweep(now):
+            self._restand = True
+            known = self.view.get(released)
+            self.count.damp(released, False, None if known is None else known.state)
+
+    def _probe(self, now: datetime, name: str) -> None:
+        target = self.view.get(name)
+        if target is None:
+            return
+        self._seq = (self._seq + 1) & WORD
+        probe = Probe(self._seq, name, target.incarnation, not target.there)
+        self._probes[probe.seq] = probe
+        COUNTERS.add("members.probes")
+        self._box.send(Kind.PING, target, seq=probe.seq, target=name)
+        late, end = (now + self.health.scaled(span) for span in (self.timing.timeout, self.timing.interval))
+        probe.dues = [
+            self._dues.at(late, lambda now: self._ask_others(now, probe)),
+            self._dues.at(end, lambda now: self._unanswered(now, probe)),
+        ]
+
+    def _ask_others(self, now: datetime, probe: Probe) -> None:
+        target = self.view.get(probe.name)
+        if probe.of_the_dead or target is None:
+            return
+        for name in self.view.there.draw(self._chance, self.timing.relays, but=probe.name):
+            relay = self.view.get(name)
+            if relay is not None and relay.state is State.ALIVE:
+                probe.asked.add(name)
+                probe.relays += 1
+                COUNTERS.add("members.relays_asked")
+                self._box.send(Kind.RELAY, relay, seq=probe.seq, target=probe.name, first=(target,))
+
+    def _answered(self, message: Message) -> None:
+        probe = self._probes.get(message.seq)
+        if probe is not None and probe.name == message.target:
+            self._end_probe(probe)
+            if not probe.of_the_dead:
+                self.health.better()
+            return
+        relayed = self._relayed.get(message.seq)
+        if relayed is not None and message.target == message.sender.name:
+            relayed.due.cancel()
+            del self._relayed[message.seq]
+            asker = self.view.get(relayed.asker)
+            if asker is not None:
+                found = message.sender
+                self._box.send(Kind.ACK, asker, seq=relayed.seq, target=found.name, first=(found,))
+            return
+        COUNTERS.add("members.acks_late")
+
+    def _unanswered(self, now: datetime, probe: Probe) -> None:
+        self._end_probe(probe)
+        if probe.of_the_dead:
+            return
+        COUNTERS.add("members.probes_failed")
+        # Where relays say that they had no answer either, it is not us who hear nothing.
+        self.health.worse(len(probe.asked) if probe.relays else 1)
+        known = self.view.get(probe.name)
+        if known is None or known.incarnation != probe.incarnation or not known.there:
+            return
+        self._learn(now, known.as_state(State.SUSPECT, self.me.name))
+
+    def _end_probe(self, probe: Probe) -> None:
+        self._probes.pop(probe.seq, None)
+        for due in probe.dues:
+            due.cancel()
+
+    def _relay(self, now: datetime, message: Message) -> None:
+        """Probe one for another member, which could not reach it."""
+        target = self.view.get(message.target)
+        asker = message.sender
+        if target is None or len(self._relayed) >= RELAYED_MOST:
+            COUNTERS.add("members.relays_refused")
+            self._box.send(Kind.NACK, asker, seq=message.seq, target=message.target)
+            return
+        self._seq = seq = (self._seq + 1) & WORD
+
+        def over(now: datetime) -> None:
+            if self._relayed.pop(seq, None) is not None:
+                self._box.send(Kind.NACK, asker, seq=message.seq, target=message.target)
+
+        due = self._dues.at(now + self.timing.nack_after, over)
+        self._relayed[seq] = Relayed(asker.name, message.seq, due)
+        self._box.send(Kind.PING, target, seq=seq, target=target.name)
+
+    # --- suspicion ---
+
+    def _begin_suspicion(self, now: datetime, record: Record) -> None:
+        members = len(self.view.there) + 1
+        COUNTERS.add("members.suspected")
+        suspicion = self._suspicions[record.name] = Suspicion(
+            now,
+            self.timing.shortest_suspicion(members),
+            self.timing.longest_suspicion(members),
+            self.timing.relays,
+            record.by,
+            members - 1,
+        )
+        self._due_death(record.name, suspicion)
+
+    def _due_death(self, name: str, suspicion: Suspicion) -> None:
+        def over(now: datetime) -> None:
+            known = self.view.get(name)
+            if self._suspicions.get(name) is not suspicion or known is None:
+                return
+            if now < suspicion.ends_at:
+                self._due_death(name, suspicion)  # it was extended meanwhile
+                return
+            self._learn(now, known.as_state(State.DEAD))
+
+        self._dues.at(suspicion.ends_at, over)
+
+    def _mind_the_gap(self, now: datetime) -> None:
+        """Woken much later than we asked to be, we were away: nobody else was.
+
+        Without it a process that was stopped finds, on its way back, every probe unanswered and every
+        suspicion at its end, and tells all others that they are dead.
+        """
+        due = self.due_at
+        away = now - due if due is not None else timedelta(0)
+        if away <= self.timing.stall:
+            return
+        COUNTERS.add("members.stalls")
+        self.health.worse()
+        for probe in list(self._probes.values()):
+            self._end_probe(probe)
+        for suspicion in self._suspicions.values():
+            suspicion.extend(away)
+        self._dues.run(now)  # so that what comes next finds us on time
+
+    # --- joining, repair ---
+
+    def _join(self, now: datetime) -> None:
+        """Ask some of the ways in who is there, until enough have answered."""
+        ways = self._chance.sample(self._ways_in, min(JOIN_ASKED, len(self._ways_in)))
+        for way in ways:
+            self._box.send_to(Kind.JOIN, way)
+        self._look_whether_joined()
+
+    def _look_whether_joined(self) -> None:
+        enough = min(JOIN_HEARD, self.count.current.majority - 1)
+        if not self._joined and len(self._first_hand) >= enough:
+            self._joined = self._restand = True
+            self._first_hand.clear()
+
+    def _tell_all(self, sender: Record) -> None:
+        """Some of the table to a newcomer, drawn at random: several are asked, and repair brings the rest."""
+        names = self.view.there.draw(self._chance, len(self.view.there), but=sender.name)
+        known = [record for name in names if (record := self.view.get(name)) is not None]
+        self._box.send_pages(sender, known)
+
+    def _compare(self, message: Message) -> None:
+        """Where tables differ and nothing is on its way that explains it, begin to mend that."""
+        if message.kind in (Kind.JOIN, Kind.BUCKETS, Kind.STATE):
+            return
+        if int.from_bytes(message.digest, "big") == self.view.digest:
+            self._differs = 0
+            return
+        if len(self._spread) or self._repaired:
+            return
+        self._differs += 1
+        if self._differs > 1:
+            self._repaired = True
+            COUNTERS.add("members.repairs")
+            self._box.send(Kind.BUCKETS, message.sender, seq=1, buckets=pack_buckets(self.view.buckets))
+
+    def _mend(self, message: Message) -> None:
+        theirs = unpack_buckets(message.buckets)
+        if not theirs:
+            COUNTERS.add("members.dropped.buckets")
+            return
+        differing = self.view.differing(theirs)
+        records = [record for bucket in differing for record in self.view.of_bucket(bucket)]
+        self._chance.shuffle(records)  # more than fit now: the others have their chance the next time
+        self._box.send_pages(message.sender, records)
+        if message.seq == 1:
+            self._box.send(Kind.BUCKETS, message.sender, seq=0, buckets=pack_buckets(self.view.buckets))
+
+    # --- gossip ---
+
+    def _wake_gossip(self, now: datetime) -> None:
+        if not self._gossiping:
+            self._gossiping = True
+            self._dues.at(now + self.timing.gossip * self._chance.random(), self._gossip)
+
+    def _gossip(self, now: datetime) -> None:
+        self._gossiping = False
+        if not len(self._spread):
+            return
+        self._gossip_to(self.view.there.draw(self._chance, self.timing.fanout))
+        self._gossiping = True
+        self._dues.at(now + self.timing.gossip, self._gossip)
+
+    def _gossip_to(self, names: Iterable[str]) -> None:
+        for name in names:
+            known = self.view.get(name)
+            if known is not None:
+                self._box.send(Kind.GOSSIP, known)
+
+    def _done(self) -> list[Output]:
+        if self._restand:
+            self._restand = False
+            standing = self.count.standing(self._joined)
+            if standing is not self.standing:
+                self._box.add(Stood(self.standing, standing))
+                self.standing = standing
+        return self._box.taken()
--- /dev/null
+++ b/reedmount/members/record.py
@@ -0,0 +1,95 @@
+"""What is claimed of one member, and which of two claims wins."""
+
+from __future__ import annotations
+
+import ipaddress
+import zlib
+from enum import IntEnum
+from hashlib import blake2b
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from reedmount.net.connection import Address
+
+NAME_MOST = 24  # bytes of a member's name
+ZONE_MOST = 12
+WORD = 2**32 - 1  # incarnations, lives, rosters and builds are words of 32 bits
+BUCKETS = 32  # by name, in the digest of a table
+
+Word = Annotated[int, Meta(ge=0, le=WORD)]
+
+
+class State(IntEnum):
+    """What a member is claimed to be; of claims with one incarnation the greater state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """One claim about one member, as it travels. Fields are only ever added at the end, with a default."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=NAME_MOST)]
+    host: Annotated[bytes, Meta(min_length=4, max_length=16)]  # an IPv4 or IPv6 address
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    incarnation: Word  # raised by the member alone
+    life: Word  # drawn by each process at its start
+    state: State
+    roster: Word = 0  # the id of the roster that it goes by
+    zone: Annotated[str, Meta(max_length=ZONE_MOST)] = ""
+    build: Word = 0  # the identity of its program and settings
+    by: Annotated[str, Meta(max_length=NAME_MOST)] = ""  # of a suspicion: who says so; no part of the claim
+
+    @property
+    def address(self) -> Address:
+        """Where its datagrams go and come from."""
+        return str(ipaddress.ip_address(self.host)), self.port
+
+    @property
+    def rank(self) -> tuple[int, State, int, bytes, int, int, str, int]:
+        """Total on the claims of one name: the greater wins, so that all tables come to the same."""
+        return (
+            self.incarnation, self.state, self.life, self.host, self.port, self.roster, self.zone, self.build
+        )  # fmt: skip
+
+    @property
+    def there(self) -> bool:
+        """Whether it is taken for running: it is probed, and counts as seen."""
+        return self.state <= State.SUSPECT
+
+    @property
+    def digest(self) -> int:
+        """64 bits of the claim, where a suspicion counts as alive: it is on its way to one or the other.
+
+        What is gone counts as nothing, lest one table that has forgotten it and one that has not differ.
+        """
+        if not self.there:
+            return 0
+        plain = msgspec.structs.replace(self, state=State.ALIVE, by="")
+        return int.from_bytes(blake2b(msgspec.msgpack.encode(plain), digest_size=8).digest(), "big")
+
+    def as_state(self, state: State, by: str = "") -> Record:
+        """The same member, incarnation and life in another state."""
+        return msgspec.structs.replace(self, state=state, by=by)
+
+
+def record_of(
+    name: str, address: Address, life: int, roster: int = 0, zone: str = "", build: int = 0
+) -> Record:
+    """A member as it begins: alive, incarnation 0. Raises ValueError where the address is no IP address, or
+    a field does not fit: datagrams hold 256 bytes."""
+    if not 1 <= len(name.encode()) <= NAME_MOST or not name.isascii():
+        raise ValueError(f"a member's name is 1 to {NAME_MOST} ASCII characters: {name!r}")
+    if len(zone.encode()) > ZONE_MOST:
+        raise ValueError(f"a zone's name is {ZONE_MOST} bytes at most: {zone!r}")
+    host = ipaddress.ip_address(address[0]).packed
+    return Record(name, host, address[1], 0, life, State.ALIVE, roster, zone, build)
+
+
+def bucket_of(name: str) -> int:
+    """The bucket of the table's digest that a name counts in."""
+    return zlib.crc32(name.encode()) % BUCKETS
--- /dev/null
+++ b/reedmount/members/standing.py
@@ -0,0 +1,115 @@
+"""Whether we may decide for all: majorities over rosters from the settings, never over who is in sight."""
+
+from __future__ import annotations
+
+import zlib
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from reedmount.members.record import WORD, Record, State
+
+
+class Standing(Enum):
+    """What a member may do while others are missing; calls are served in all of them."""
+
+    JOINING = "joining"  # has not heard enough others since its own start
+    MINORITY = "minority"  # not even with those that are suspected
+    UNSURE = "unsure"  # with suspected or damped ones, or under a roster that we do not know
+    MAJORITY = "majority"
+
+    @property
+    def may_decide(self) -> bool:
+        """Whether it is worth asking for what must be unique; a term or lease has to fence it besides."""
+        return self is Standing.MAJORITY
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """Who counts, by the settings."""
+
+    version: int
+    names: frozenset[str]
+
+    @property
+    def id(self) -> int:
+        """What members say to tell that they go by this one; 0 is none."""
+        text = f"{self.version}:" + ",".join(sorted(self.names))
+        return (zlib.crc32(text.encode()) & WORD) or 1
+
+    @property
+    def majority(self) -> int:
+        """More than half."""
+        return len(self.names) // 2 + 1
+
+
+@dataclass(slots=True)
+class _Tally:
+    """Of one roster: how many are in each state. Kept by difference: a change costs one step."""
+
+    roster: Roster
+    states: Counter[State] = field(default_factory=Counter)
+    damped: int = 0  # of those alive
+
+
+class Count:
+    """The tallies of all rosters that matter now."""
+
+    def __init__(self, me: str, rosters: tuple[Roster, ...]) -> None:
+        self._me = me
+        self._tallies = [_Tally(roster) for roster in rosters]
+        self._known = {roster.id for roster in rosters}
+        self._goes_by: Counter[int] = Counter()  # roster ids of members that are there
+        self._damped: set[str] = set()
+
+    @property
+    def current(self) -> Roster:
+        """The roster that we go by."""
+        return self._tallies[0].roster
+
+    def changed(self, name: str, old: Record | None, new: Record | None) -> None:
+        """What is known of a member is other now; None: it is not in the table."""
+        if any(name in tally.roster.names for tally in self._tallies):
+            # What guests go by says nothing: one of them could keep all the others from deciding.
+            for record, by in ((old, -1), (new, 1)):
+                if record is not None and record.there and record.roster:
+                    self._goes_by[record.roster] += by
+        self._tally(name, None if old is None else old.state, None if new is None else new.state)
+
+    def _tally(self, name: str, old: State | None, new: State | None) -> None:
+        for tally in self._tallies:
+            if name not in tally.roster.names or name == self._me:
+                continue
+            if old is not None:
+                tally.states[old] -= 1
+            if new is not None:
+                tally.states[new] += 1
+            if name in self._damped:
+                tally.damped += (new is State.ALIVE) - (old is State.ALIVE)
+
+    def damp(self, name: str, damped: bool, state: State | None) -> None:
+        """A member begins or ceases to be damped."""
+        if damped == (name in self._damped):
+            return
+        (self._damped.add if damped else self._damped.discard)(name)
+        for tally in self._tallies:
+            if name in tally.roster.names and state is State.ALIVE:
+                tally.damped += 1 if damped else -1
+
+    def standing(self, joined: bool) -> Standing:
+        """As of now: the worst of what each roster that is in use says."""
+        if not joined:
+            return Standing.JOINING
+        in_use = {roster for roster, members in self._goes_by.items() if members > 0}
+        worst = Standing.MAJORITY if in_use <= self._known else Standing.UNSURE
+        for place, tally in enumerate(self._tallies):
+            if place and tally.roster.id not in in_use:
+                continue  # nobody goes by that one any more
+            own = self._me in tally.roster.names
+            sure = own + tally.states[State.ALIVE] - tally.damped
+            at_most = own + tally.states[State.ALIVE] + tally.states[State.SUSPECT]
+            if at_most < tally.roster.majority:
+                return Standing.MINORITY
+            if sure < tally.roster.majority:
+                worst = Standing.UNSURE
+        return worst
--- /dev/null
+++ b/reedmount/members/suspicion.py
@@ -0,0 +1,42 @@
+"""How long a member may stay suspected: Lifeguard's timeout, shorter the more members suspect it too."""
+
+from __future__ import annotations
+
+import math
+from datetime import datetime, timedelta
+
+
+class Suspicion:
+    """One suspicion of one incarnation, as one member sees it.
+
+    It begins with the longest span, since a suspicion that nobody shares may be our own fault, and comes
+    down to the shortest with ``wanted`` others that say the same. Where nobody else could confirm, it
+    starts at the shortest.
+    """
+
+    def __init__(
+        self, began: datetime, least: timedelta, most: timedelta, wanted: int, by: str, others: int
+    ) -> None:
+        self.began, self._least, self._most = began, least, most
+        self._wanted = min(wanted, max(0, others - 1))
+        self._by = {by}
+        self._first = by
+
+    def confirmed(self, by: str) -> bool:
+        """Another member says the same; whether that is news that others need (the first few are)."""
+        if by in self._by or not by or len(self._by) > self._wanted:
+            return False
+        self._by.add(by)
+        return True
+
+    def extend(self, span: timedelta) -> None:
+        """We were away for that long: it had no chance to be refuted to us."""
+        self.began += span
+
+    @property
+    def ends_at(self) -> datetime:
+        """When it is taken for dead, as things stand."""
+        if self._wanted < 1:
+            return self.began + self._least
+        share = math.log(len(self._by)) / math.log(self._wanted + 1)
+        return self.began + max(self._least, self._most - (self._most - self._least) * share)
--- /dev/null
+++ b/reedmount/members/view.py
@@ -0,0 +1,175 @@
+"""The table of members: the greatest claim of each name, digests of the whole, bounds and forgetting."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from reedmount.members.record import BUCKETS, Record, State, bucket_of
+
+RECORDS_MOST = 4096
+JUMP_MOST = 1 << 20  # of an incarnation over what is known: a lie that leaves no room to refute it
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What has become of one member; None: it was not known, or it is not known any more."""
+
+    old: Record | None
+    new: Record | None
+
+    @property
+    def name(self) -> str:
+        """Whose."""
+        found = self.new or self.old
+        return found.name if found is not None else ""
+
+
+class Names:
+    """A set of names with a random draw in constant time."""
+
+    def __init__(self) -> None:
+        self._list: list[str] = []
+        self._at: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """How many."""
+        return len(self._list)
+
+    def __contains__(self, name: object) -> bool:
+        """Whether this one is among them."""
+        return name in self._at
+
+    def __iter__(self) -> Iterator[str]:
+        """In no order that means anything."""
+        return iter(self._list)
+
+    def add(self, name: str) -> None:
+        """Take it in."""
+        if name not in self._at:
+            self._at[name] = len(self._list)
+            self._list.append(name)
+
+    def discard(self, name: str) -> None:
+        """Let it go; the last one takes its place."""
+        at = self._at.pop(name, None)
+        if at is None:
+            return
+        last = self._list.pop()
+        if last != name:
+            self._list[at], self._at[last] = last, at
+
+    def draw(self, chance: random.Random, count: int, but: str = "") -> list[str]:
+        """So many different ones, or all that there are, in random order."""
+        drawn = chance.sample(self._list, min(len(self._list), count + 1))
+        return [name for name in drawn if name != but][:count]
+
+
+class View:
+    """What is known of all members, ourselves among them.
+
+    ``version`` rises with each change, here alone; ``digest`` says whether two tables are equal, wherever.
+    """
+
+    def __init__(self, me: str, kept: frozenset[str], forget: timedelta) -> None:
+        self._me = me
+        self.kept = kept  # of the roster: never forgotten
+        self.version = 0
+        self.digest = 0
+        self.buckets = [0] * BUCKETS
+        self.there = Names()  # alive or suspected
+        self.dead = Names()  # called dead, which may be a cut
+        self._forget = forget
+        self._records: dict[str, Record] = {}
+        self._names: list[set[str]] = [set() for _ in range(BUCKETS)]
+        self._gone_at: dict[str, datetime] = {}  # dead or left, the oldest first
+
+    def __len__(self) -> int:
+        """How many records."""
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[Record]:
+        """All records."""
+        return iter(self._records.values())
+
+    def get(self, name: str) -> Record | None:
+        """The greatest claim."""
+        return self._records.get(name)
+
+    def believable(self, record: Record) -> bool:
+        """Whether its incarnation leaves the member room to refute it."""
+        known = self._records.get(record.name)
+        return record.incarnation <= (known.incarnation if known is not None else 0) + JUMP_MOST
+
+    def take(self, now: datetime, record: Record) -> Change | None:
+        """Merge one claim; what it changed, if it won. None too where the table is full of others."""
+        old = self._records.get(record.name)
+        if old is not None and record.rank <= old.rank:
+            return None
+        if old is None and len(self._records) >= RECORDS_MOST and not self._make_room():
+            return None
+        self._weigh(old)
+        self._weigh(record)
+        self._records[record.name] = record
+        self._names[bucket_of(record.name)].add(record.name)
+        self._sort(now, record)
+        self.version += 1
+        return Change(old, record)
+
+    def forgotten(self, now: datetime) -> list[Change]:
+        """Let go of those that are gone for long; looks at no more than it lets go of."""
+        changes = []
+        while self._gone_at:
+            name, since = next(iter(self._gone_at.items()))
+            if now - since < self._forget:
+                break
+            changes.append(self._remove(name))
+        return changes
+
+    def differing(self, buckets: list[int]) -> list[int]:
+        """Which buckets are others than these."""
+        words = [bucket & 0xFFFFFFFF for bucket in self.buckets]
+        return [at for at, (ours, theirs) in enumerate(zip(words, buckets, strict=True)) if ours != theirs]
+
+    def of_bucket(self, bucket: int) -> list[Record]:
+        """The records of a bucket, those that are gone as well."""
+        return [self._records[name] for name in sorted(self._names[bucket])]
+
+    def _weigh(self, record: Record | None) -> None:
+        if record is not None:
+            weight = record.digest
+            self.digest ^= weight
+            self.buckets[bucket_of(record.name)] ^= weight
+
+    def _sort(self, now: datetime, record: Record) -> None:
+        name = record.name
+        self.there.discard(name)
+        self.dead.discard(name)
+        self._gone_at.pop(name, None)
+        if name == self._me:
+            return  # we neither probe nor forget ourselves
+        if record.there:
+            self.there.add(name)
+            return
+        if record.state is State.DEAD:
+            self.dead.add(name)
+        if name not in self.kept:
+            self._gone_at[name] = now
+
+    def _remove(self, name: str) -> Change:
+        old = self._records.pop(name)
+        self._weigh(old)
+        self._names[bucket_of(name)].discard(name)
+        self.there.discard(name)
+        self.dead.discard(name)
+        self._gone_at.pop(name, None)
+        self.version += 1
+        return Change(old, None)
+
+    def _make_room(self) -> bool:
+        if not self._gone_at:
+            return False
+        self._remove(next(iter(self._gone_at)))
+        return True
