Members on the loop and a fault rig of real processes: ten hard cases of membership

Need: what processes do together when parts fail is proven only by processes and faults between them. Change: `reedmount/peers/` (a UDP socket, one timer, `[members]` in the operator's file, GET /admin/members, changes told as JSON datagrams that wait for nobody). `standins/faults/`: N processes of the program with files of their own, a proxy before each member with loss, delay, doubles, stalls and one-way cuts a link, SIGKILL, SIGSTOP, restarts, clocks that are off; seeded; a history in JSON lines; checkers that read the members' changes and the callers' answers. Standing asks besides whether we hear enough others ourselves (ten intervals): the rig showed that suspicion alone took over 10 s to tell a cut-off three of eight that they are few, as a member that hears nothing slows its own probes down. `reedmount/tables.py` is the operator file's Table, split off.

--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -48,13 +48,13 @@
     return serve_sip(loop, lambda: read_operator(path))
 
 
-def main() -> int:
-    """Serve until SIGTERM."""
+def main(clock: Clock | None = None) -> int:
+    """Serve until SIGTERM, by the system's clock unless another is given."""
     parser = argparse.ArgumentParser(prog="reedmount", description="A border controller for call set-ups.")
     parser.add_argument("--operator", metavar="FILE", type=Path, help="serve SIP as this file says")
     operator: Path | None = parser.parse_args().operator
     signals = catch_signals()
-    loop = Loop(Clock())
+    loop = Loop(clock or Clock())
     try:
         if operator is not None:
             node = _operated(loop, operator)
--- a/reedmount/members/protocol.py
+++ b/reedmount/members/protocol.py
@@ -36,7 +36,7 @@
 )  # fmt: skip
 from reedmount.net.connection import Address
 
-JOIN_HEARD = 5  # others at first hand, or a majority where that is less: then we are no newcomer any more
+TOUCH_HEARD = 5  # others heard of late, or a majority where that is less: then we are in touch
 JOIN_ASKED = 8  # that are asked at once who is there
 
 
@@ -75,8 +75,8 @@
         self._probes: dict[int, Probe] = {}
         self._relayed: dict[int, Relayed] = {}
         self._suspicions: dict[str, Suspicion] = {}
-        self._first_hand: set[str] = set()  # heard since our start; only until there are enough
-        self._joined = False
+        self._heard_at: dict[str, datetime] = {}  # of the rosters, at first hand, the latest last
+        self._joined = self._in_touch = False
         self._restand = True  # what the standing goes by has changed
         self._periods = 0
         self._gossiping = False
@@ -90,6 +90,7 @@
         self._say(now, self.me)
         self._join(now)
         self._dues.at(now + self.timing.interval * self._chance.random(), self._period)
+        self._dues.at(now + self.timing.interval, self._sweep)
         return self._done()
 
     def heard(self, now: datetime, source: Address, data: bytes) -> list[Output]:
@@ -161,9 +162,10 @@
     def _take(self, now: datetime, message: Message) -> None:
         sender = message.sender
         self._learn(now, sender)
-        if not self._joined and sender.there:
-            self._first_hand.add(sender.name)
-            self._look_whether_joined()
+        if sender.there and sender.name in self._kept:
+            self._heard_at.pop(sender.name, None)
+            self._heard_at[sender.name] = now
+            self._look_whether_in_touch()
         # A page of a table tells a newcomer what all others know: it passes on what was other news to it.
         page = message.kind == Kind.STATE
         for record in message.records:
@@ -253,7 +255,7 @@
     # --- probes ---
 
     def _period(self, now: datetime) -> None:
-        """Once an interval, longer where we do badly: probe the next, at times one that is dead; sweep."""
+        """Once an interval, longer where we do badly: probe the next, at times one that is dead."""
         self._periods += 1
         self._repaired = False
         self._dues.at(now + self.health.scaled(self.timing.interval), self._period)
@@ -264,7 +266,14 @@
             self._probe(now, name)
         if self._periods % self.timing.dead_every == 0 and len(self.view.dead):
             self._probe(now, self.view.dead.draw(self._chance, 1)[0])
-        if not self._joined:
+
+    def _sweep(self, now: datetime) -> None:
+        """Once an interval, however we do: whom we heard of late, what is forgotten, who is damped."""
+        self._dues.at(now + self.timing.interval, self._sweep)
+        while self._heard_at and now - next(iter(self._heard_at.values())) > self.timing.touch:
+            del self._heard_at[next(iter(self._heard_at))]
+        self._look_whether_in_touch()
+        if not self._joined and not self.left:
             self._join(now)
         for change in self.view.forgotten(now):
             self._changed(now, change)
@@ -405,13 +414,18 @@
         ways = self._chance.sample(self._ways_in, min(JOIN_ASKED, len(self._ways_in)))
         for way in ways:
             self._box.send_to(Kind.JOIN, way)
-        self._look_whether_joined()
+        self._look_whether_in_touch()
+
+    def _look_whether_in_touch(self) -> None:
+        """Whether enough others were heard of late, by ourselves; from the first time on we have joined.
 
-    def _look_whether_joined(self) -> None:
-        enough = min(JOIN_HEARD, self.count.current.majority - 1)
-        if not self._joined and len(self._first_hand) >= enough:
-            self._joined = self._restand = True
-            self._first_hand.clear()
+        Suspicions take their time, and the longer the worse we do, as a member that is cut off does: until
+        then its table shows a majority that it has lost.
+        """
+        in_touch = len(self._heard_at) >= min(TOUCH_HEARD, self.count.current.majority - 1)
+        if in_touch != self._in_touch:
+            self._in_touch, self._restand = in_touch, True
+            self._joined = self._joined or in_touch
 
     def _tell_all(self, sender: Record) -> None:
         """Some of the table to a newcomer, drawn at random: several are asked, and repair brings the rest."""
@@ -470,7 +484,7 @@
     def _done(self) -> list[Output]:
         if self._restand:
             self._restand = False
-            standing = self.count.standing(self._joined)
+            standing = self.count.standing(self._joined, self._in_touch)
             if standing is not self.standing:
                 self._box.add(Stood(self.standing, standing))
                 self.standing = standing
--- a/reedmount/members/settings.py
+++ b/reedmount/members/settings.py
@@ -48,6 +48,11 @@
         """When a relay that had no answer says so: early enough to come within the period."""
         return self.timeout * 0.8
 
+    @property
+    def touch(self) -> timedelta:
+        """Who was heard within this was heard of late: in it some 20 datagrams come, of others each."""
+        return 10 * self.interval
+
     @property
     def stall(self) -> timedelta:
         """Woken later than this, we were away: what came in between is no evidence against anyone."""
--- a/reedmount/members/standing.py
+++ b/reedmount/members/standing.py
@@ -14,8 +14,8 @@
     """What a member may do while others are missing; calls are served in all of them."""
 
     JOINING = "joining"  # has not heard enough others since its own start
-    MINORITY = "minority"  # not even with those that are suspected
-    UNSURE = "unsure"  # with suspected or damped ones, or under a roster that we do not know
+    MINORITY = "minority"  # not even with those that are suspected, or without them and out of touch
+    UNSURE = "unsure"  # with suspected or damped ones, out of touch, or under a roster that we do not know
     MAJORITY = "majority"
 
     @property
@@ -96,20 +96,22 @@
             if name in tally.roster.names and state is State.ALIVE:
                 tally.damped += 1 if damped else -1
 
-    def standing(self, joined: bool) -> Standing:
-        """As of now: the worst of what each roster that is in use says."""
+    def standing(self, joined: bool, in_touch: bool = True) -> Standing:
+        """As of now: the worst that a roster in use says; out of touch, no better than unsure."""
         if not joined:
             return Standing.JOINING
         in_use = {roster for roster, members in self._goes_by.items() if members > 0}
-        worst = Standing.MAJORITY if in_use <= self._known else Standing.UNSURE
+        worst = Standing.MAJORITY if in_touch and in_use <= self._known else Standing.UNSURE
         for place, tally in enumerate(self._tallies):
             if place and tally.roster.id not in in_use:
                 continue  # nobody goes by that one any more
             own = self._me in tally.roster.names
-            sure = own + tally.states[State.ALIVE] - tally.damped
-            at_most = own + tally.states[State.ALIVE] + tally.states[State.SUSPECT]
+            alive = own + tally.states[State.ALIVE]
+            # Where we hear few ourselves, those that we suspect besides are taken for gone: nobody else may
+            # be left to share the suspicion, which then takes its longest.
+            at_most = alive + (tally.states[State.SUSPECT] if in_touch else 0)
             if at_most < tally.roster.majority:
                 return Standing.MINORITY
-            if sure < tally.roster.majority:
+            if alive - tally.damped < tally.roster.majority:
                 worst = Standing.UNSURE
         return worst
--- a/reedmount/operate.py
+++ b/reedmount/operate.py
@@ -5,15 +5,18 @@
 import os
 import random
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import dns.zone
 
 from reedmount.config import ConfigError
 from reedmount.core.checks import log
+from reedmount.core.lifecycle import Phase
 from reedmount.core.switch import Switch
 from reedmount.dns.server import UpdateServer
 from reedmount.dns.update import Master
 from reedmount.dns.zone import ZoneError, load
+from reedmount.fronts.admin import View
 from reedmount.fronts.board import Board
 from reedmount.fronts.board import Pool as BoardList
 from reedmount.fronts.sip import SipFront
@@ -27,7 +30,10 @@
 from reedmount.sources.srv import NAME as SRV
 from reedmount.sources.srv import SrvSource
 
-POOL = "/admin/pool"
+if TYPE_CHECKING:
+    from reedmount.peers.host import Peers
+
+POOL, MEMBERS = "/admin/pool", "/admin/members"
 SOURCES = (BOARD, FIXED, ZONE, SRV)  # in this order where they name a server differently
 
 
@@ -132,9 +138,13 @@
     except ZoneError as error:
         raise ConfigError(str(error)) from None
     front.first_choice = sources.host.first_choice
-    made.open_door(config.control, {POOL: lambda query: sources.host.view(_after(query))})
+    peers = _open_peers(loop, made, config)
+    views: dict[str, View] = {POOL: lambda query: sources.host.view(_after(query))}
+    if peers is not None:
+        views[MEMBERS] = peers.view
+    made.open_door(config.control, views)
     made.where = f"SIP served at {text_of(front.endpoint.address)}, call servers from {_named(config)}"
-    made.parts = (front, sources)
+    made.parts = (front, sources, peers)
 
     def reread() -> None:
         nonlocal config
@@ -151,6 +161,8 @@
              item.updates and item.updates.listen, item.control)
             for item in (old, config)
         ]  # fmt: skip
+        if old.members != config.members:
+            log("members is taken at the next start only")
         if places[0] != places[1]:
             log("sip.listen, timers, dns.update.listen and door.control are taken at the next start only")
 
@@ -158,6 +170,23 @@
     return made
 
 
+def _open_peers(loop: Loop, node: Node, config: Operator) -> Peers | None:
+    """Be a member of the group, where the file names one; at our end say so: nobody has to find out."""
+    if config.members is None:
+        return None
+    from reedmount.peers.host import Peers
+
+    peers = Peers(loop, config.members)
+    log(f"member {config.members.name} of {config.members.group} at {text_of(peers.address)}")
+
+    def leave_at_the_end() -> None:
+        if node.switch.lifecycle.phase is Phase.ENDING:
+            peers.leave()
+
+    node.switch.lifecycle.on_change(leave_at_the_end)
+    return peers
+
+
 def _named(config: Operator) -> str:
     """The sources, for the line at the start."""
     parts = []
--- a/reedmount/operator_file.py
+++ b/reedmount/operator_file.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING
 
 import dns.exception
 import dns.name
@@ -17,7 +17,7 @@
 
 from reedmount import interface as i
 from reedmount.config import RELEASE_MARGIN, ConfigError, address
-from reedmount.core.clock import millis, span, span_micros
+from reedmount.core.clock import span, span_micros
 from reedmount.dns.asking import Patience
 from reedmount.dns.cache import Bounds
 from reedmount.dns.resolver import ResolverSettings
@@ -32,10 +32,10 @@
 from reedmount.sip.transaction import Timers
 from reedmount.sources.host import PoolSettings
 from reedmount.sources.srv import SrvSettings
+from reedmount.tables import Table, numeric
 
-T = TypeVar("T")
-N = TypeVar("N", int, float)
-
+if TYPE_CHECKING:
+    from reedmount.peers.settings import PeerSettings
 
 @dataclass(frozen=True, slots=True)
 class Updates:
@@ -61,69 +61,7 @@
     board: Address | None
     fixed: tuple[Claim, ...]
     srv: SrvSettings | None
-
-
-class Table:
-    """One table of the file; what is asked for is checked, and what was never asked for is a fault."""
-
-    def __init__(self, values: Any, path: str) -> None:
-        if not isinstance(values, dict):
-            raise ConfigError(f"{path} is not a table")
-        self._values, self.path, self._asked = values, path, set[str]()
-
-    def get(self, key: str, kind: type[T], default: T | None = None) -> T:
-        """A value of a kind; without a default it must be there."""
-        self._asked.add(key)
-        value = self._values.get(key, default)
-        if value is None:
-            raise ConfigError(f"{self.path}.{key} is missing")
-        if kind is float and isinstance(value, int) and not isinstance(value, bool):
-            value = float(value)
-        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-            raise ConfigError(f"{self.path}.{key}: {kind.__name__} wanted, not {value!r}")
-        return value
-
-    def amount(self, key: str, kind: type[N], default: N | None, least: N, most: N) -> N:
-        """A number within bounds."""
-        value = self.get(key, kind, default)
-        if not least <= value <= most:
-            raise ConfigError(f"{self.path}.{key}: {value} is not within {least} and {most}")
-        return value
-
-    def span(self, key: str, default: int | None, least: int = 1, most: int = 3_600_000) -> timedelta:
-        """A span given in whole milliseconds."""
-        return millis(self.amount(key, int, default, least, most))
-
-    def seconds(self, key: str, default: float, least: float, most: float) -> timedelta:
-        """A span given in seconds."""
-        return timedelta(seconds=self.amount(key, float, default, least, most))
-
-    def texts(self, key: str, default: list[str]) -> list[str]:
-        """A list of strings."""
-        values = self.get(key, list, default)
-        if not all(isinstance(value, str) for value in values):
-            raise ConfigError(f"{self.path}.{key}: strings wanted, not {values!r}")
-        return values
-
-    def table(self, key: str) -> Table:
-        """A table within this one; one that is not there is empty."""
-        self._asked.add(key)
-        return Table(self._values.get(key, {}), f"{self.path}.{key}".lstrip("."))
-
-    def tables(self, key: str) -> list[Table]:
-        """A list of tables."""
-        values = self.get(key, list, [])
-        return [Table(value, f"{self.path}.{key}[{n}]".lstrip(".")) for n, value in enumerate(values)]
-
-    def has(self, key: str) -> bool:
-        """Whether it is there."""
-        return key in self._values
-
-    def done(self) -> None:
-        """A key that nobody asked for is a misspelt one."""
-        for key in self._values:
-            if key not in self._asked:
-                raise ConfigError(f"{self.path}.{key}".lstrip(".") + " is not known")
+    members: PeerSettings | None
 
 
 def read_operator(path: Path) -> Operator:
@@ -137,7 +75,7 @@
         raise ConfigError(f"{path}: {error}") from None
     classes, prefixes = _classes(top)
     sip, dns_table, module = top.table("sip"), top.table("dns"), top.table("module")
-    pool, srv = top.table("pool"), top.table("srv")
+    pool, srv, members = top.table("pool"), top.table("srv"), top.table("members")
     names = [kind.name for kind in classes]
     default = sip.get("default_class", str, names[0])
     if default not in names:
@@ -171,14 +109,24 @@
         board=numeric(pool.get("board", str), f"{pool.path}.board") if pool.has("board") else None,
         fixed=tuple(_fixed(pool)),
         srv=_srv(srv, listen6 is not None) if top.has("srv") else None,
+        members=_members(members) if top.has("members") else None,
     )
-    for table in (top, sip, dns_table, updates, door, module, pool, srv):
+    for table in (top, sip, dns_table, updates, door, module, pool, srv, members):
         table.done()
     if made.zone is None and made.board is None and not made.fixed and made.srv is None:
         raise ConfigError("no source of call servers: dns.zone, pool.board, pool.servers or srv.names")
     return made
 
 
+def _members(table: Table) -> PeerSettings:
+    """Read by the part itself, whose libraries are imported only where the table is there."""
+    try:
+        from reedmount.peers.reader import read_members
+    except ImportError as error:
+        raise ConfigError(f"members: needs what requirements-fleet.txt names: {error}") from None
+    return read_members(table)
+
+
 def _pool(table: Table) -> PoolSettings:
     try:
         past = Past(table.get("past_bound", str, Past.DRAIN.value))
@@ -256,18 +204,6 @@
     return name, labels[1].lstrip("_")
 
 
-def numeric(text: str, key: str) -> Address:
-    """An address with a port, with no name in it that would have to be looked up."""
-    found = address(text, key)
-    try:
-        ipaddress.ip_address(found[0])
-    except ValueError as error:
-        raise ConfigError(f"{key}: {error}") from None
-    if not found[1]:
-        raise ConfigError(f"{key}: port 0 in {text!r}")
-    return found
-
-
 def _classes(top: Table) -> tuple[tuple[i.CallClass, ...], tuple[tuple[str, str], ...]]:
     classes: list[i.CallClass] = []
     prefixes: list[tuple[str, str]] = []
--- /dev/null
+++ b/reedmount/peers/host.py
@@ -0,0 +1,168 @@
+"""The members of a group on the loop: datagrams in and out, one timer, views for the door, changes told."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Callable
+from datetime import datetime
+
+from reedmount.core.checks import COUNTERS, log
+from reedmount.core.clock import micros
+from reedmount.members.outbox import Output, Send, Stood
+from reedmount.members.protocol import Protocol
+from reedmount.members.record import Record
+from reedmount.members.standing import Standing
+from reedmount.members.view import Change
+from reedmount.members.wire import DATAGRAM_MOST
+from reedmount.net.connection import Address, family_of, text_of
+from reedmount.net.loop import READ, Loop, Timer
+from reedmount.peers.settings import PeerSettings
+
+TURN_MOST = 64  # datagrams read in one turn of the loop: calls come first, the rest waits for the next turn
+PAGE = 256  # members in one answer at the door
+Hear = Callable[[Change | Stood], None]
+
+
+class Peers:
+    """One member. Sockets and timers; what to say, and to whom, is decided in ``members/``.
+
+    Raises OSError where the address cannot be had. A datagram that cannot be sent is counted and lost, as
+    on the net: the protocol lives with that.
+    """
+
+    def __init__(self, loop: Loop, settings: PeerSettings) -> None:
+        self._loop, self._settings = loop, settings
+        self._life = int.from_bytes(os.urandom(4), "big")
+        self._sock = socket.socket(family_of(settings.listen), socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind(settings.listen)
+        seed = int.from_bytes(os.urandom(8), "big")
+        self.protocol = Protocol(
+            settings.timing, settings.group, settings.me(self._life), settings.rosters,
+            settings.ways_in, seed, settings.guests,
+        )  # fmt: skip
+        self._told: list[Hear] = []
+        self._number = 0  # of what was told at ``tell``: a reader sees what was lost
+        self._timer: Timer | None = None
+        self._timer_at: datetime | None = None
+        loop.watch(self._sock.fileno(), READ, self._ready)
+        self._do(self.protocol.start(loop.clock.now()))
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self._sock.getsockname()[:2]
+        return host, port
+
+    @property
+    def standing(self) -> Standing:
+        """Whether this member may decide for all."""
+        return self.protocol.standing
+
+    def on_change(self, hear: Hear) -> None:
+        """Have somebody hear of each change of a member, and of our standing."""
+        self._told.append(hear)
+
+    def leave(self) -> None:
+        """Say that we go; what comes after it is not answered."""
+        if not self.protocol.left:
+            self._do(self.protocol.leave(self._loop.clock.now()))
+
+    def close(self) -> None:
+        """Be gone, as a process that dies."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._loop.unwatch(self._sock.fileno())
+        self._sock.close()
+
+    def view(self, query: dict[str, str]) -> dict[str, object]:
+        """A page of the table, for the door, by name; ``after`` asks for what comes after a name."""
+        table, after = self.protocol.view, query.get("after", "")
+        names = sorted(record.name for record in table if record.name > after)
+        page = [record for name in names[:PAGE] if (record := table.get(name)) is not None]
+        roster = self.protocol.count.current
+        return {
+            "name": self._settings.name,
+            "standing": self.standing.value,
+            "roster": {"version": roster.version, "members": len(roster.names), "majority": roster.majority},
+            "view": {"version": table.version, "digest": f"{table.digest:016x}", "members": len(table)},
+            "health": self.protocol.health.score,
+            "members": [self._line(record) for record in page],
+            "more": page[-1].name if len(names) > PAGE else None,
+        }
+
+    # --- the loop ---
+
+    def _ready(self, _: int) -> None:
+        for _n in range(TURN_MOST):
+            try:
+                data, source = self._sock.recvfrom(DATAGRAM_MOST + 1)
+            except BlockingIOError:
+                return
+            except OSError:
+                COUNTERS.add("members.socket_errors")  # a port that nobody listens at says so here
+                continue
+            self._do(self.protocol.heard(self._loop.clock.now(), source[:2], data))
+
+    def _wake(self) -> None:
+        self._timer = self._timer_at = None
+        self._do(self.protocol.wake(self._loop.clock.now()))
+
+    def _do(self, outputs: list[Output]) -> None:
+        for output in outputs:
+            if isinstance(output, Send):
+                self._send(output)
+            else:
+                self._tell(output)
+        due = self.protocol.due_at
+        if due is not None and (self._timer_at is None or due < self._timer_at):
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer, self._timer_at = self._loop.at(due, self._wake), due
+
+    def _send(self, send: Send) -> None:
+        try:
+            self._sock.sendto(send.data, send.to)
+        except OSError:
+            COUNTERS.add("members.not_sent")
+
+    def _tell(self, change: Change | Stood) -> None:
+        if isinstance(change, Stood):
+            log(f"membership: {change.new.value}, was {change.old.value}", "membership")
+        elif change.new is not None and (change.old is None or change.old.state is not change.new.state):
+            log(f"member {change.name} is {change.new.state.name.lower()}", f"member {change.new.state.name}")
+        for hear in self._told:
+            hear(change)
+        if self._settings.tell is not None:
+            self._report(self._settings.tell, change)
+
+    def _report(self, to: Address, change: Change | Stood) -> None:
+        """One change as JSON: a datagram that may be lost, since nothing here may wait for a reader."""
+        self._number += 1
+        line: dict[str, object] = {
+            "by": self._settings.name, "life": self._life, "n": self._number,
+            "at_us": micros(self._loop.clock.now()),
+            "view": self.protocol.view.version, "digest": f"{self.protocol.view.digest:016x}",
+        }  # fmt: skip
+        if isinstance(change, Stood):
+            line |= {"event": "standing", "old": change.old.value, "new": change.new.value}
+        else:
+            line |= {
+                "event": "member", "about": change.name,
+                "old": None if change.old is None else self._line(change.old),
+                "new": None if change.new is None else self._line(change.new),
+            }  # fmt: skip
+        try:
+            self._sock.sendto(json.dumps(line).encode(), to)
+        except OSError:
+            COUNTERS.add("members.not_told")
+
+    def _line(self, record: Record) -> dict[str, object]:
+        return {
+            "name": record.name, "state": record.state.name.lower(), "incarnation": record.incarnation,
+            "life": record.life, "address": text_of(record.address), "zone": record.zone,
+            "build": f"{record.build:08x}", "roster": record.roster,
+            "damped": self.protocol.damping.damped(record.name),
+        }  # fmt: skip
--- /dev/null
+++ b/reedmount/peers/settings.py
@@ -0,0 +1,40 @@
+"""What an operator's file says of the members of a group."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass, field
+
+from reedmount.members.record import WORD, Record, record_of
+from reedmount.members.settings import Timing
+from reedmount.members.standing import Roster
+from reedmount.net.connection import Address
+
+WAYS_MOST = 64  # addresses to join by
+ROSTER_MOST = 2048  # members that count
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """The table ``[members]``."""
+
+    name: str
+    group: str
+    listen: Address
+    advertise: Address  # where others send to; another one than ``listen`` behind a translation of addresses
+    ways_in: tuple[Address, ...]
+    rosters: tuple[Roster, ...]  # ours, then the one before it
+    zone: str = ""
+    guests: bool = True
+    tell: Address | None = None  # where changes are told as JSON, a datagram each
+    timing: Timing = field(default_factory=Timing)
+    build: int = 0
+
+    def me(self, life: int) -> Record:
+        """What a process of this life says of itself. Raises ValueError where a field does not fit."""
+        return record_of(self.name, self.advertise, life, self.rosters[0].id, self.zone, self.build)
+
+
+def identity(text: str) -> int:
+    """32 bits that tell one program or file from another."""
+    return zlib.crc32(text.encode()) & WORD
--- /dev/null
+++ b/standins/faults/__main__.py
@@ -0,0 +1,29 @@
+"""Play cases of the fault rig: ``python -m standins.faults partition --seed 1 --folder found/partition``."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from standins.faults.cases import CASES
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(CASES)))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--folder", type=click.Path(path_type=Path), required=True, help="files, logs and the history")
+def main(name: str, seed: int, folder: Path) -> None:
+    """Play one case; its figures are a line of JSON, and the exit status says whether all held."""
+    try:
+        figures = CASES[name](folder, seed)
+    except AssertionError as error:
+        click.echo(json.dumps({"case": name, "seed": seed, "broken": str(error)}))
+        sys.exit(1)
+    click.echo(json.dumps({"case": name, "seed": seed, **figures}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/faults/cases.py
@@ -0,0 +1,303 @@
+"""The hard cases of membership, each with real processes: AssertionError, or figures for a table."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import UTC, datetime
+from pathlib import Path
+
+from standins.faults import checks
+from standins.faults.rig import Rig
+
+Figures = dict[str, object]
+Case = Callable[[Path, int], Figures]
+CASES: dict[str, Case] = {}
+
+# How long detection may take with 8 members: a probe in two rounds at the latest (7 s, were it the last of
+# one and the first of the next), and a suspicion of 2.5 s where the first probes agree. Typical is 3 s.
+KNOWN_S = 10.0
+HEALED_S = 10.0
+DEEDS = ("kill", "stop", "cut", "cut", "cut", "loss", "heal", "start", "start", "go_on", "go_on")
+TOUCH_S = 6.0  # ten intervals, and one for the look at it
+CALLS = 3.0  # a second at each member
+
+
+def case(work: Case) -> Case:
+    """Know it by its name."""
+    CASES[work.__name__] = work
+    return work
+
+
+def _finish(rig: Rig, unfair: tuple[str, ...] = ()) -> Figures:
+    """What holds at the end of every case."""
+    last = datetime.now(UTC)
+    rig.run(4.5)  # the longest that a caller waits
+    assert not rig.wrong(), rig.wrong()
+    assert not checks.incarnations_fall(rig.history)
+    lost = checks.lost_calls(rig, last, unfair)
+    assert not lost, lost[:5]
+    calls = sum(len(callers.calls) for callers in rig.callers.values())
+    return {"calls": calls, "untold": rig.untold, "datagrams": rig.net.counts["sent"]}
+
+
+def _one_view(rig: Rig, within_s: float) -> float:
+    """All that run agree; how long it took."""
+    since = rig.history.now_s
+    assert rig.until(rig.agreed, within_s), f"no one view within {within_s} s: {rig.views} {rig.standing}"
+    took = rig.history.now_s - since
+    for by in rig.up():
+        there = [name for name in rig.views[by] if rig.state(by, name) == "alive"]
+        assert sorted([*there, by]) == sorted(rig.up()), "a member is missing, or counted twice"
+    return round(took, 2)
+
+
+@case
+def stopped(folder: Path, seed: int) -> Figures:
+    """One of eight gets SIGSTOP for 3 s, then goes on: no flap storm, it refutes and accuses nobody."""
+    with Rig(folder, 8, seed, call_rate=CALLS) as rig:
+        rig.started()
+        rig.call(16)
+        rig.run(2)
+        since = rig.history.now_s
+        rig.stop("n3")
+        rig.run(3)
+        rig.go_on("n3")
+        took = _one_view(rig, HEALED_S)
+        rig.run(8)
+        assert not checks.died(rig.history, since, ("n3",)), checks.died(rig.history, since, ("n3",))
+        assert checks.restless(rig.history, since) <= 4, "a flap storm"
+        others = [name for name in rig.names if name != "n3"]
+        assert checks.stood(rig.history, others, since, rig.history.now_s) == {"majority"}
+        changes = checks.restless(rig.history, since)
+        return {"one view after, s": took, "changes in a view": changes} | _finish(rig, ("n3",))
+
+
+@case
+def partition(folder: Path, seed: int) -> Figures:
+    """Five and three are cut apart for 20 s: the three know that they are few, and all are one view after."""
+    with Rig(folder, 8, seed, call_rate=CALLS) as rig:
+        rig.started()
+        rig.call(30)
+        many, few = rig.names[:5], rig.names[5:]
+        lives = {about: rig.views["n0"][about]["life"] for about in rig.views["n0"]}
+        since = rig.history.now_s
+        rig.cut(many, few)
+        found = rig.until(lambda: all(rig.standing[name] == "minority" for name in few), KNOWN_S)
+        assert found, f"{rig.standing} after {KNOWN_S} s"
+        known = rig.history.now_s - since
+        rig.run(20 - known)
+        unsure = [
+            line["t"] - since for line in rig.history.since(since, "standing")
+            if line["by"] in few and line["old"] == "majority"
+        ]  # fmt: skip
+        assert len(unsure) == len(few) and max(unsure) < TOUCH_S, f"sure of themselves for {unsure}"
+        few_were = checks.stood(rig.history, few, since + known + 0.1, rig.history.now_s)
+        assert few_were == {"minority"}, f"the few changed their mind while they were cut off: {few_were}"
+        assert {rig.standing[name] for name in many} == {"majority"}
+        assert "minority" not in checks.stood(rig.history, many, since, rig.history.now_s)
+        rig.heal()
+        took = _one_view(rig, HEALED_S)
+        assert rig.until(lambda: set(rig.standing.values()) == {"majority"}, 2)
+        assert {a: rig.views["n0"][a]["life"] for a in rig.views["n0"]} == lives, "somebody is another now"
+        return {
+            "unsure after, s": checks.spread_of(unsure), "minority after, s": round(known, 2),
+            "one view after, s": took,
+        } | _finish(rig)  # fmt: skip
+
+
+@case
+def one_way(folder: Path, seed: int) -> Figures:
+    """n0 is not heard by n1, later by nobody, and hears all."""
+    with Rig(folder, 8, seed) as rig:
+        rig.started()
+        since = rig.history.now_s
+        rig.cut(["n0"], ["n1"], both=False)
+        rig.run(12)
+        assert not checks.died(rig.history, since), checks.died(rig.history, since)
+        alone = checks.suspected(rig.history, since)
+        rig.heal()
+        others = rig.names[1:]
+        since = rig.history.now_s
+        rig.cut(["n0"], others, both=False)
+        assert rig.until(lambda: all(rig.state(name, "n0") == "dead" for name in others), 2 * KNOWN_S)
+        gone = rig.history.now_s - since
+        assert not checks.died(rig.history, since, ("n0", *others)) and not [
+            line for line in rig.history.states(since, "dead")
+            if line["by"] != "n0" and line["about"] != "n0"
+        ], "those that hear each other called one of themselves dead"  # fmt: skip
+        assert rig.until(lambda: rig.standing["n0"] in ("minority", "unsure"), 2 * KNOWN_S)
+        rig.heal()
+        return {
+            "suspicions by the one way, 12 s": alone,
+            "unheard by all, dead after, s": round(gone, 2),
+            "one view after, s": _one_view(rig, HEALED_S),
+        } | _finish(rig)
+
+
+@case
+def loss(folder: Path, seed: int) -> Figures:
+    """Three in ten datagrams are lost on every link, one in ten comes twice, all out of order."""
+    with Rig(folder, 8, seed, call_rate=CALLS) as rig:
+        rig.started()
+        rig.call(40)
+        since = rig.history.now_s
+        rig.net.every(loss=0.3, twice=0.1, delay_s=0.004, jitter_s=0.03)
+        rig.run(40)
+        assert not checks.died(rig.history, since), checks.died(rig.history, since)
+        suspicions = checks.suspected(rig.history, since)
+        at = rig.history.now_s
+        rig.kill("n3")
+        others = [name for name in rig.names if name != "n3"]
+        assert rig.until(lambda: all(rig.state(name, "n3") == "dead" for name in others), 60)
+        found = checks.found_dead(rig.history, "n3", at, others)
+        return {"suspicions in 40 s": suspicions, "death known, s": checks.spread_of(found)} | _finish(
+            rig, ("n3",)
+        )
+
+
+@case
+def half(folder: Path, seed: int) -> Figures:
+    """Four of eight are killed at once and start again within a second, with the roster and nothing else."""
+    with Rig(folder, 8, seed, call_rate=CALLS) as rig:
+        rig.started()
+        rig.call(14)
+        rig.run(2)
+        since = rig.history.now_s
+        rig.kill(*rig.names[:4])
+        rig.run(0.3)
+        rig.start(rig.names[:4])
+        took = _one_view(rig, HEALED_S)
+        assert rig.until(lambda: set(rig.standing.values()) == {"majority"}, HEALED_S)
+        rig.run(8)
+        assert rig.agreed() and not checks.died(rig.history, since, rig.names[:4])
+        return {"one view after, s": took} | _finish(rig, tuple(rig.names[:4]))
+
+
+@case
+def twice(folder: Path, seed: int) -> Figures:
+    """One member is killed and started twice within the time of one suspicion."""
+    with Rig(folder, 8, seed) as rig:
+        rig.started()
+        since = rig.history.now_s
+        for _ in range(2):
+            rig.kill("n3")
+            rig.run(0.8)
+            rig.start(["n3"])
+            rig.run(0.2)
+        took = _one_view(rig, HEALED_S)
+        rig.run(8)
+        assert rig.agreed() and not checks.died(rig.history, since, ("n3",))
+        lives = {str(rig.views[name]["n3"]["life"]) for name in rig.names if name != "n3"}
+        assert len(lives) == 1, "not all mean the same process"
+        return {"one view after, s": took} | _finish(rig)
+
+
+@case
+def clocks(folder: Path, seed: int) -> Figures:
+    """Clocks are up to 30 s apart; nothing is seen of it."""
+    with Rig(folder, 8, seed, call_rate=CALLS) as rig:
+        skews = {name: (-30.0, 0.0, 30.0)[number % 3] for number, name in enumerate(rig.names)}
+        rig.start(skew_s=lambda name: skews[name])
+        assert rig.until(rig.agreed, 20)
+        rig.call(12)
+        rig.run(6)
+        assert not list(rig.history.states(0.0, "suspect"))
+        at = rig.history.now_s
+        rig.kill("n2")
+        others = [name for name in rig.names if name != "n2"]
+        assert rig.until(lambda: all(rig.state(name, "n2") == "dead" for name in others), KNOWN_S)
+        found = checks.found_dead(rig.history, "n2", at, others)
+        assert not checks.died(rig.history, 0.0, ("n2",))
+        return {"death known, s": checks.spread_of(found)} | _finish(rig, ("n2",))
+
+
+@case
+def retired(folder: Path, seed: int) -> Figures:
+    """A member leaves; its datagrams come again a minute later, and bring nobody back."""
+    with Rig(folder, 8, seed) as rig:
+        rig.started()
+        rig.net.tapped = True
+        rig.run(3)
+        rig.net.tapped = False
+        late = [(to, data) for sender, to, data in rig.net.taps if sender == "n7"]
+        others = rig.names[:7]
+        at = rig.history.now_s
+        rig.terminate("n7")
+        assert rig.until(lambda: all(rig.state(name, "n7") == "left" for name in others), 3)
+        left = rig.history.now_s - at
+        rig.run(60)
+        assert not rig.processes["n7"].running, "it has not ended"
+        since = rig.history.now_s
+        for to, data in late:
+            rig.net.inject("n7", to, data)
+        rig.run(5)
+        assert late and not list(rig.history.states(since)), "a late datagram changed a view"
+        assert not checks.died(rig.history, 0.0)
+        return {"leave known after, s": round(left, 2), "late datagrams": len(late)} | _finish(rig)
+
+
+@case
+def stalled_link(folder: Path, seed: int) -> Figures:
+    """A link holds all back for 6 s and then gives it at once, one way."""
+    with Rig(folder, 8, seed) as rig:
+        rig.started()
+        since = rig.history.now_s
+        rig.net.stall("n0", "n1")
+        rig.run(6)
+        rig.heal()
+        took = _one_view(rig, HEALED_S)
+        rig.run(5)
+        assert not checks.died(rig.history, since), checks.died(rig.history, since)
+        assert checks.restless(rig.history, since) <= 4
+        return {"one view after, s": took} | _finish(rig)
+
+
+@case
+def storm(folder: Path, seed: int) -> Figures:
+    """50 s of kills, restarts, stops, cuts and loss as the seed has them; then one view, whatever came.
+
+    While it goes on, no member that is cut off from a majority for longer than it takes to be out of touch
+    says that it has one.
+    """
+    with Rig(folder, 8, seed) as rig:
+        rig.started()
+        end, wrong, looks = rig.history.now_s + 50, [], 0
+        cut_since: dict[str, float] = {}  # and running, without a stop
+        while rig.history.now_s < end:
+            deed = rig.rng.choice(DEEDS)
+            name = rig.rng.choice(rig.names)
+            one = rig.processes[name]
+            if deed == "kill" and one.running:
+                rig.kill(name)
+            elif deed == "start" and not one.running:
+                rig.start([name])
+            elif deed == "stop" and name in rig.up():
+                rig.stop(name)
+            elif deed == "go_on" and one.stopped:
+                rig.go_on(name)
+                if name in cut_since:
+                    cut_since[name] = rig.history.now_s
+            elif deed == "cut":
+                few = rig.rng.sample(rig.names, rig.rng.randint(1, 3))
+                rig.cut(few, [other for other in rig.names if other not in few])
+                cut_since |= {one: rig.history.now_s for one in few if one not in cut_since}
+            elif deed == "heal":
+                rig.heal()
+                cut_since.clear()
+            elif deed == "loss":
+                rig.net.every(loss=rig.rng.choice([0.0, 0.1, 0.3]), jitter_s=0.02)
+            rig.run(rig.rng.uniform(0.2, 2.5))
+            long = [name for name, since in cut_since.items() if rig.history.now_s - since > TOUCH_S]
+            looks += len([name for name in long if name in rig.up()])
+            wrong += [name for name in long if name in rig.up() and rig.standing.get(name) == "majority"]
+        assert not wrong, f"cut off and sure of itself: {wrong}"
+        rig.heal()
+        rig.net.every(loss=0.0, jitter_s=0.0)
+        for name, one in rig.processes.items():
+            if one.stopped:
+                rig.go_on(name)
+            if not one.running:
+                rig.start([name])
+        took = _one_view(rig, 60)
+        changes = checks.restless(rig.history, 0.0)
+        return {"one view after, s": took, "changes in a view": changes, "looked at": looks} | _finish(rig)
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,47 @@
+"""Several processes of the program with faults between them: the hard cases of membership, played by the rig.
+
+All begin at once, each rig in processes and addresses of its own, so that they take as long as the longest.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.faults.cases import CASES
+from tests.test_config import ROOT
+
+LONGEST_S = 240
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, subprocess.Popen[str]]]:
+    folder: Path = tmp_path_factory.mktemp("faults")
+    running = {
+        name: subprocess.Popen(
+            [sys.executable, "-m", "standins.faults", name, "--seed", "1", "--folder", str(folder / name)],
+            cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+        )
+        for name in CASES
+    }  # fmt: skip
+    yield running
+    for process in running.values():
+        process.terminate()
+        process.wait()
+        assert process.stdout is not None
+        process.stdout.close()
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_a_hard_case_holds_with_real_processes(
+    played: dict[str, subprocess.Popen[str]], name: str
+) -> None:
+    said, _ = played[name].communicate(timeout=LONGEST_S)
+    assert played[name].returncode == 0, said
+    figures = json.loads(said.splitlines()[-1])
+    assert figures["case"] == name and figures["untold"] == 0 and figures["datagrams"] > 100
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -181,6 +181,8 @@
         count.changed(f"n{number}", None, other(f"n{number}", roster=99))
     assert count.standing(True) is standing
     assert count.standing(False) is Standing.JOINING
+    out_of_touch = Standing.UNSURE if alive >= 4 else Standing.MINORITY
+    assert count.standing(True, in_touch=False) is out_of_touch
     count.damp("n1", True, State.ALIVE)
     assert count.standing(True) is (standing if alive == 7 or not standing.may_decide else Standing.UNSURE)
 
@@ -279,6 +281,19 @@
     assert all(len(node.protocol.view) == 8 for node in group.running() if node.protocol)
 
 
+def test_one_that_is_cut_off_alone_is_unsure_within_ten_intervals() -> None:
+    """Its own probes slow down as they fail; four failed ones, which its table needs, took over 10 s."""
+    for seed in range(3):
+        group = started(seed=seed)
+        group.cut(["n0"], [f"n{n}" for n in range(1, 8)])
+        group.run(10 * group.timing.interval.total_seconds() + 0.6)
+        assert Standing.MAJORITY not in group.standings(["n0"])
+        group.heal()
+        assert group.run(20, group.agreed)
+        group.run(2)
+        assert group.standings() == {Standing.MAJORITY}
+
+
 def test_newcomers_in_a_minority_do_not_make_it_a_majority() -> None:
     group = started()
     few, many = ["n0", "n1", "n2"], [f"n{n}" for n in range(3, 8)]
