Measure membership: detection, false alarms, load, healing; with real processes too

Need: the issue asks for figures at three rates of loss, for eight processes and 256 members in virtual time. Change: benchmarks/members.py (click, processes, a chart by matplotlib).

--- /dev/null
+++ b/benchmarks/members.py
@@ -0,0 +1,260 @@
+"""What membership costs and how fast it is: the tables of docs/MEASURED-MEMBERSHIP.md.
+
+    python -m benchmarks.members detection --members 256 --seconds 120 --kills 12
+    python -m benchmarks.members load
+    python -m benchmarks.members heal
+    python -m benchmarks.members real --seconds 120 --kills 10
+    python -m benchmarks.members chart docs/membership-detection.png FILE...
+
+All but ``real`` are in virtual time with the state machines that serve, so a run is the same again. ``real``
+starts processes and takes as long as it says. Each prints a table; ``--json FILE`` keeps detections for a chart.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import click
+
+from reedmount.members.record import State
+from standins.faults import checks
+from standins.faults.rig import Rig
+from standins.gossip.net import Group, Way
+
+LOSSES = (0.0, 0.1, 0.3)
+DELAY_S = (0.0042, 0.024)  # one way, as between zones of the platform
+SETTLED_S = 40.0  # after a start of all at once, all that gossip has to say is said
+
+
+def quantile(values: list[float], share: float) -> float:
+    """The value that so large a share is not above."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
+
+
+def _group(members: int, seed: int, loss: float) -> Group:
+    group = Group(members, seed, way=Way(loss=loss, delay_s=DELAY_S))
+    group.start()
+    group.run(SETTLED_S)
+    group.history.clear()
+    return group
+
+
+def _suspicions(group: Group) -> tuple[int, int]:
+    """Suspicions of members that run, each counted once wherever it spreads, and those called dead."""
+    first = [seen for seen in group.history if seen.state is State.SUSPECT]
+    spread: dict[str, float] = {}
+    count = 0
+    for seen in first:
+        if seen.at_s - spread.get(seen.about, -1e9) > 1.0:
+            count += 1
+        spread[seen.about] = seen.at_s
+    return count, len({(seen.about) for seen in group.history if seen.state is State.DEAD})
+
+
+def detect(members: int, seed: int, loss: float, seconds: float, kills: int) -> dict[str, object]:
+    """False alarms in a quiet span, then kills one after the other: until the first, and until all know."""
+    group = _group(members, seed, loss)
+    group.run(seconds)
+    false, wrongly_dead = _suspicions(group)
+    firsts, alls = [], []
+    for number in range(kills):
+        name, at = f"n{number}", group.now_s
+        group.kill(name)
+        group.history.clear()
+        others = [node.name for node in group.running()]
+        known: set[str] = set()
+
+        def all_know(others: list[str] = others, name: str = name, known: set[str] = known) -> bool:
+            known |= {other for other in others if group.state(other, name) is State.DEAD}
+            return len(known) == len(others)
+
+        while group.now_s < at + 120 and not all_know():
+            group.run(0.1)
+        deaths = [seen.at_s - at for seen in group.history if seen.about == name and seen.state is State.DEAD]
+        firsts.append(min(deaths, default=120.0))
+        alls.append(group.now_s - at)
+    hours = members * seconds / 3600
+    return {
+        "members": members, "loss": loss, "first": firsts, "all": alls, "false": false,
+        "hours": hours, "wrongly dead": wrongly_dead,
+    }  # fmt: skip
+
+
+def _line(name: str, result: dict[str, object]) -> str:
+    first, every = result["first"], result["all"]
+    assert isinstance(first, list) and isinstance(every, list)
+    hours = float(str(result["hours"]))
+    return (
+        f"| {name} | {float(str(result['loss'])):.0%} | {statistics.median(first):.2f} | "
+        f"{quantile(first, 0.99):.2f} | {statistics.median(every):.2f} | {quantile(every, 0.99):.2f} | "
+        f"{float(str(result['false'])) / hours:.1f} | {result['wrongly dead']} in {hours:.1f} h |"
+    )
+
+
+HEAD = (
+    "| members | loss | first knows, s: median | p99 | all know, s: median | p99 | "
+    "false suspicions a member-hour | wrongly dead |\n| --- | --- | --- | --- | --- | --- | --- | --- |"
+)
+
+
+@click.group()
+def main() -> None:
+    """Measurements of membership."""
+
+
+@main.command()
+@click.option("--members", default=8, show_default=True)
+@click.option("--seconds", default=900.0, show_default=True, help="quiet, for false alarms")
+@click.option("--kills", default=4, show_default=True, help="one after the other, in each run")
+@click.option("--seeds", default=8, show_default=True)
+@click.option("--json", "kept", type=click.Path(path_type=Path), default=None)
+def detection(members: int, seconds: float, kills: int, seeds: int, kept: Path | None) -> None:
+    """How soon a death is known, and what is suspected without cause, in virtual time."""
+    results = []
+    with ProcessPoolExecutor(max_workers=4) as pool:
+        runs = {
+            loss: [pool.submit(detect, members, seed, loss, seconds, kills) for seed in range(1, seeds + 1)]
+            for loss in LOSSES
+        }
+        click.echo(HEAD)
+        for loss, found in runs.items():
+            parts = [run.result() for run in found]
+            whole: dict[str, object] = {
+                "members": members, "loss": loss, "hours": sum(float(str(part["hours"])) for part in parts),
+                "false": sum(int(str(part["false"])) for part in parts),
+                "wrongly dead": sum(int(str(part["wrongly dead"])) for part in parts),
+            }  # fmt: skip
+            for key in ("first", "all"):
+                whole[key] = [span for part in parts for span in part[key]]  # type: ignore[attr-defined]
+            results.append(whole)
+            click.echo(_line(f"{members}, virtual time", whole))
+    if kept is not None:
+        kept.write_text(json.dumps(results))
+
+
+@main.command()
+@click.option("--sizes", default="8,64,256,1000", show_default=True)
+@click.option("--seconds", default=20.0, show_default=True)
+def load(sizes: str, seconds: float) -> None:
+    """Bytes and datagrams a second of one member, in a quiet group and while one in a hundred dies."""
+    click.echo("| members | bytes/s | datagrams/s | bytes/s for 20 s after a death | longest datagram |")
+    click.echo("| --- | --- | --- | --- | --- |")
+    for count in (int(text) for text in sizes.split(",")):
+        group = _group(count, 1, 0.0)
+        before = sum(group.bytes.values()), sum(group.datagrams.values())
+        group.run(seconds)
+        bytes_s = (sum(group.bytes.values()) - before[0]) / count / seconds
+        datagrams_s = (sum(group.datagrams.values()) - before[1]) / count / seconds
+        at = sum(group.bytes.values())
+        group.kill("n0")
+        group.run(20)
+        death = (sum(group.bytes.values()) - at) / count / 20
+        click.echo(f"| {count} | {bytes_s:.0f} | {datagrams_s:.1f} | {death:.0f} | {group.longest} |")
+
+
+@main.command()
+@click.option("--sizes", default="8,64,256", show_default=True)
+@click.option("--seeds", default=5, show_default=True)
+def heal(sizes: str, seeds: int) -> None:
+    """A cut of three from five eighths for 20 s: until the few know, and until all agree after it."""
+    click.echo("| members | few not sure any more, s: median | most | one view after, s: median | most |")
+    click.echo("| --- | --- | --- | --- | --- |")
+    for count in (int(text) for text in sizes.split(",")):
+        knew, agreed = [], []
+        for seed in range(1, seeds + 1):
+            group = _group(count, seed, 0.0)
+            few = [f"n{number}" for number in range(count * 3 // 8)]
+            at = group.now_s
+            group.cut(few, [name for name in group.nodes if name not in few])
+            while {item.may_decide for item in group.standings(few)} != {False} and group.now_s < at + 20:
+                group.run(0.1)
+            knew.append(group.now_s - at)
+            group.run(20 - knew[-1])
+            at = group.now_s
+            group.heal()
+            while not group.agreed() and group.now_s < at + 120:
+                group.run(0.1)
+            agreed.append(group.now_s - at)
+        click.echo(
+            f"| {count} | {statistics.median(knew):.1f} | {max(knew):.1f} | "
+            f"{statistics.median(agreed):.1f} | {max(agreed):.1f} |"
+        )
+
+
+def _real(loss: float, seconds: float, kills: int, folder: str) -> dict[str, object]:
+    firsts, alls = [], []
+    with Rig(Path(folder), 8, 1) as rig:
+        rig.started()
+        rig.net.every(loss=loss, delay_s=DELAY_S[0], jitter_s=DELAY_S[1] - DELAY_S[0])
+        rig.run(10)
+        since = rig.history.now_s
+        rig.run(seconds)
+        false = checks.suspected(rig.history, since)
+        dead = len(checks.died(rig.history, since))
+        for number in range(kills):
+            name = rig.names[number % 8]
+            others = [other for other in rig.names if other != name]
+            at = rig.history.now_s
+            rig.kill(name)
+            rig.until(lambda: all(rig.state(other, name) == "dead" for other in others), 90)  # noqa: B023
+            found = checks.found_dead(rig.history, name, at, others)
+            firsts.append(found[0])
+            alls.append(found[-1])
+            rig.start([name])
+            rig.until(rig.agreed, 30)
+            rig.run(5)
+    return {
+        "members": 8, "loss": loss, "first": firsts, "all": alls, "false": false,
+        "hours": 8 * seconds / 3600, "wrongly dead": dead,
+    }  # fmt: skip
+
+
+@main.command()
+@click.option("--seconds", default=120.0, show_default=True)
+@click.option("--kills", default=10, show_default=True)
+@click.option("--json", "kept", type=click.Path(path_type=Path), default=None)
+def real(seconds: float, kills: int, kept: Path | None) -> None:
+    """The same with eight processes of the program and the rig's net between them."""
+    with tempfile.TemporaryDirectory() as folder, ProcessPoolExecutor(max_workers=3) as pool:
+        runs = [pool.submit(_real, loss, seconds, kills, f"{folder}/{loss}") for loss in LOSSES]
+        click.echo(HEAD)
+        results = [run.result() for run in runs]
+    for result in results:
+        click.echo(_line("8 processes", result))
+    if kept is not None:
+        kept.write_text(json.dumps(results))
+
+
+@main.command()
+@click.argument("picture", type=click.Path(path_type=Path))
+@click.argument("files", nargs=-1, type=click.Path(path_type=Path, exists=True))
+def chart(picture: Path, files: tuple[Path, ...]) -> None:
+    """How long until all know, as a distribution, from what ``--json`` kept."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    figure, axes = plt.subplots(figsize=(8, 4.5))
+    for file in files:
+        for result in json.loads(file.read_text()):
+            spans = sorted(result["all"])
+            shares = [(place + 1) / len(spans) for place in range(len(spans))]
+            name = f"{file.stem}, {result['members']} members, {result['loss']:.0%} loss"
+            axes.step([0.0, *spans], [0.0, *shares], where="post", label=name)
+    axes.set_xlabel("seconds from a kill until all others call it dead")
+    axes.set_ylabel("share of kills")
+    axes.set_xlim(left=0)
+    axes.grid(alpha=0.3)
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(picture, dpi=110)
+
+
+if __name__ == "__main__":
+    main()
