A scheduler for background work; what schedules work moves below the core

The core took Actor and Loop from net/loop.py, an arrow that ran up. The pool's slices stay where they are: drains among them must not wait for calls.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -7,7 +7,7 @@
     python -m benchmarks.members chart docs/membership-detection.png FILE...
 
 All but ``real`` are in virtual time with the state machines that serve, so a run is the same again. ``real``
-starts processes and takes as long as it says. Each prints a table; ``--json FILE`` keeps detections for a chart.
+starts processes and takes as long as it says. Each prints a table; ``--json FILE`` is for a chart.
 """
 
 from __future__ import annotations
--- a/benchmarks/sources.py
+++ b/benchmarks/sources.py
@@ -29,6 +29,7 @@
 import dns.rdatatype
 
 from reedmount.__main__ import GC_AFTER
+from reedmount.core.actors import Scheduler
 from reedmount.core.checks import COUNTERS
 from reedmount.core.clock import ZERO, Clock
 from reedmount.dns.answers import Answer
@@ -67,7 +68,7 @@
 
     def watch(self, loop: Loop) -> None:
         """Time everything this loop does from now on."""
-        plain, turn = Loop._do, loop.turn
+        plain, turn = Scheduler.do, loop.turn
 
         def timed(work: Callable[..., None], *on: object) -> None:
             self._depth += 1
@@ -90,7 +91,7 @@
             self.spent.append((self._now, self._longest[1]))
             return busy
 
-        Loop._do = staticmethod(timed)  # type: ignore[method-assign]
+        Scheduler.do = staticmethod(timed)  # type: ignore[method-assign]
         loop.turn = turned  # type: ignore[method-assign]
 
     def worst(self) -> tuple[float, str]:
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -8,11 +8,11 @@
 
 from reedmount import interface as i
 from reedmount.control import Controller
+from reedmount.core.actors import Actor, Scheduler
 from reedmount.core.checks import COUNTERS, invariant, log
 from reedmount.core.clock import ZERO, Clock, micros, span, span_micros
 from reedmount.core.lifecycle import Lifecycle, Need
 from reedmount.core.ports import CUT, NORMAL, Caller, Listed, Offer, Progress, Servers, Setup
-from reedmount.net.loop import Actor, Loop
 
 NO_REPORT = i.LoadReport()
 REMEMBERED = 4096  # names of calls that are over
@@ -38,7 +38,7 @@
 class Switch:
     """Joins the fronts to the server side through the module, which alone decides."""
 
-    def __init__(self, loop: Loop, settings: i.Settings, seed: int) -> None:
+    def __init__(self, loop: Scheduler, settings: i.Settings, seed: int) -> None:
         self.settings = settings
         self._loop, self._clock = loop, loop.clock
         self.lifecycle = Lifecycle(loop.clock)
--- a/reedmount/dns/resolver.py
+++ b/reedmount/dns/resolver.py
@@ -11,6 +11,7 @@
 from itertools import islice
 from operator import length_hint
 
+from reedmount.core.actors import Timer
 from reedmount.core.checks import COUNTERS
 from reedmount.dns.answers import Answer, Fault, Onwards, meaning
 from reedmount.dns.asking import Asking, GivenUp, Patience, Pause, Try
@@ -18,7 +19,7 @@
 from reedmount.dns.health import NameServers, Over
 from reedmount.dns.reader import Question, ReadError, Reply, head, query, read
 from reedmount.net.connection import Address, Connection, End, family_of
-from reedmount.net.loop import READ, Loop, Timer
+from reedmount.net.loop import READ, Loop
 
 PAYLOAD = 1232  # bytes of a datagram that no path has to split
 LONGEST = 65535
--- a/reedmount/dns/server.py
+++ b/reedmount/dns/server.py
@@ -4,10 +4,11 @@
 
 import socket
 
+from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS
 from reedmount.dns.update import Master
 from reedmount.net.connection import Address, Connection, both
-from reedmount.net.loop import READ, Actor, Loop
+from reedmount.net.loop import READ, Loop
 
 LONGEST = 65535
 
--- a/reedmount/fronts/admin.py
+++ b/reedmount/fronts/admin.py
@@ -10,10 +10,11 @@
 
 import h11
 
+from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.lifecycle import Lifecycle
 from reedmount.net.connection import Address, Connection, End, listen
-from reedmount.net.loop import Actor, Loop
+from reedmount.net.loop import Loop
 
 VISITORS = 10  # at once: the one with the least claim goes when another comes
 DOOR_SOCKETS = VISITORS + 2  # with the listener and one that is being turned away
--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -11,11 +11,12 @@
 import h11
 
 from reedmount import interface as i
+from reedmount.core.actors import Actor, Timer
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import EPOCH, millis
 from reedmount.core.ports import Listed
 from reedmount.net.connection import Address, Connection, End, address_of
-from reedmount.net.loop import Actor, Loop, Timer
+from reedmount.net.loop import Loop
 
 LINGER = timedelta(milliseconds=1000)  # short, so that a board that has fallen silent is noticed
 SLACK = timedelta(milliseconds=400)  # beyond that an answer is given up
--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -8,13 +8,14 @@
 from datetime import datetime, timedelta
 
 from reedmount import interface as i
+from reedmount.core.actors import Actor, Timer
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import ZERO, whole_millis
 from reedmount.core.ports import CUT, CancelSetup, Listed, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.thin import CAUSES, ID, OUTCOMES, bye, cause_of, plain, report_of, sound
 from reedmount.net.connection import Address, Connection, End
-from reedmount.net.loop import Actor, Loop, Timer
+from reedmount.net.loop import Loop
 from reedmount.sip.framing import next_message
 from reedmount.sip.message import Message, SipError, request, response
 
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -8,6 +8,8 @@
 from datetime import datetime, timedelta
 from enum import IntEnum
 
+from reedmount.core.actors import Actor
+from reedmount.core.background import Slices, Urgency
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import whole_millis
 from reedmount.core.lifecycle import Need, Phase
@@ -16,12 +18,13 @@
 from reedmount.fronts.thin import bye, cause_of, name_of, offer_of
 from reedmount.fronts.twin import TELL_EVERY, Twin, Word
 from reedmount.net.connection import Address, Connection, End, Listener, bind
-from reedmount.net.loop import Actor, Loop
+from reedmount.net.loop import Loop
 from reedmount.sip.framing import next_frame
 from reedmount.sip.message import Message, SipError, parse_head, response
 
 ACK_WAIT = timedelta(milliseconds=500)  # for the ACK of an answer that a CANCEL crossed
 LOOK_EVERY = timedelta(milliseconds=100)  # at connections that say or get nothing
+LOOKED_AT = 64  # in a slice of background work
 FIRST_WORD = timedelta(milliseconds=2700)  # for a first whole message, and for the rest of one that has begun
 LATER_WORD = timedelta(seconds=6)  # for the rest of one, where a call has stood before
 SPEAKS_SOON = timedelta(milliseconds=500)  # a new connection that has said nothing is not called silent yet
@@ -378,7 +381,7 @@
         self.twin.on("server_bye", self._heard_server_bye)
         self.twin.on("release", self._heard_release)
         self.twin.on("held", self._heard_held)
-        loop.after(LOOK_EVERY, self._look)
+        loop.background.every("links", LOOK_EVERY, self._look, Urgency.SWEEP)
 
     @property
     def address(self) -> Address:
@@ -516,15 +519,17 @@
                 COUNTERS.add("in.drained")
                 link.close()
 
-    def _look(self) -> None:
-        """Close the connections that only take room."""
+    def _look(self) -> Slices:
+        """Close the connections that only take room, some of them a slice."""
         now = self.loop.clock.now()
         if now - self._relayed_since >= RELAY_SPAN:
             self._relayed, self._relayed_since = 0, now
-        for link in [link for link in self._links if link.overdue(now)]:
-            COUNTERS.add("in.closed")
-            link.close()
-        self.loop.after(LOOK_EVERY, self._look)
+        for place, link in enumerate(list(self._links), 1):
+            if link in self._links and link.overdue(now):
+                COUNTERS.add("in.closed")
+                link.close()
+            if not place % LOOKED_AT:
+                yield
 
     def _make_room(self) -> bool:
         """Close the connection with the least claim; several where they say nothing, as each look costs."""
--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 
 from reedmount import interface as i
+from reedmount.core.actors import Actor, Timer
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.ports import CUT, CancelSetup, Listed, Progress, Release, Setup
 from reedmount.fronts.sip import ALLOW, SECOND, SipFront
 from reedmount.net.connection import End, text_of
-from reedmount.net.loop import Actor, Timer
 from reedmount.sip import dialog as dialogs
 from reedmount.sip.dialog import Dialog
 from reedmount.sip.endpoint import TcpHop
--- a/reedmount/fronts/twin.py
+++ b/reedmount/fronts/twin.py
@@ -13,9 +13,10 @@
 from pathlib import Path
 from typing import Any
 
+from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS, log
 from reedmount.net.connection import Address
-from reedmount.net.loop import READ, WRITE, Actor, Loop
+from reedmount.net.loop import READ, WRITE, Loop
 
 FILE = "reedmount.handover"
 LONGEST_PATH = 100  # the system takes 107 bytes
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -8,8 +8,9 @@
 from datetime import datetime, timedelta
 from enum import Enum
 
+from reedmount.core.actors import Timer
 from reedmount.core.checks import log
-from reedmount.net.loop import READ, WRITE, Loop, Timer
+from reedmount.net.loop import READ, WRITE, Loop
 from reedmount.net.ring import Ring
 
 CHUNK = 65536
--- a/reedmount/peers/host.py
+++ b/reedmount/peers/host.py
@@ -5,9 +5,12 @@
 import json
 import os
 import socket
+from collections import deque
 from collections.abc import Callable
-from datetime import datetime
+from datetime import datetime, timedelta
 
+from reedmount.core.actors import Timer
+from reedmount.core.background import Slices, Urgency
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import micros
 from reedmount.members.outbox import Output, Send, Stood
@@ -17,10 +20,12 @@
 from reedmount.members.view import Change
 from reedmount.members.wire import DATAGRAM_MOST
 from reedmount.net.connection import Address, family_of, text_of
-from reedmount.net.loop import READ, Loop, Timer
+from reedmount.net.loop import READ, Loop
 from reedmount.peers.settings import PeerSettings
 
-TURN_MOST = 64  # datagrams read in one turn of the loop: calls come first, the rest waits for the next turn
+TURN_MOST = 64  # datagrams read in one turn of the loop
+HELD_MOST = 512  # that are read and not looked at yet; what comes beyond that is lost, as on the net
+SOON = timedelta(milliseconds=20)  # so long they and what is due may wait for calls
 PAGE = 256  # members in one answer at the door
 Hear = Callable[[Change | Stood], None]
 
@@ -43,6 +48,8 @@
             settings.timing, settings.group, settings.me(self._life), settings.rosters,
             settings.ways_in, seed, settings.guests,
         )  # fmt: skip
+        self._held: deque[tuple[Address, bytes]] = deque()
+        self._looking = self._closed = False
         self._told: list[Hear] = []
         self._number = 0  # of what was told at ``tell``: a reader sees what was lost
         self._timer: Timer | None = None
@@ -72,6 +79,8 @@
 
     def close(self) -> None:
         """Be gone, as a process that dies."""
+        self._closed = True
+        self._held.clear()
         if self._timer is not None:
             self._timer.cancel()
         self._loop.unwatch(self._sock.fileno())
@@ -96,19 +105,38 @@
     # --- the loop ---
 
     def _ready(self, _: int) -> None:
+        """Read what has come, which costs little; it is looked at when there is time between calls."""
         for _n in range(TURN_MOST):
             try:
                 data, source = self._sock.recvfrom(DATAGRAM_MOST + 1)
             except BlockingIOError:
-                return
+                break
             except OSError:
                 COUNTERS.add("members.socket_errors")  # a port that nobody listens at says so here
                 continue
-            self._do(self.protocol.heard(self._loop.clock.now(), source[:2], data))
+            if len(self._held) < HELD_MOST:
+                self._held.append((source[:2], data))
+            else:
+                COUNTERS.add("members.dropped.no_room")
+        if self._held and not self._looking:
+            job = self._loop.background.add("members_heard", self._look, Urgency.PROBE, SOON)
+            self._looking = job is not None
+
+    def _look(self) -> Slices:
+        while self._held:
+            source, data = self._held.popleft()
+            self._do(self.protocol.heard(self._loop.clock.now(), source, data))
+            yield
+        self._looking = False
 
     def _wake(self) -> None:
         self._timer = self._timer_at = None
-        self._do(self.protocol.wake(self._loop.clock.now()))
+        if self._loop.background.add("members_due", self._due, Urgency.PROBE, SOON) is None:
+            self._due()
+
+    def _due(self) -> None:
+        if not self._closed:
+            self._do(self.protocol.wake(self._loop.clock.now()))
 
     def _do(self, outputs: list[Output]) -> None:
         for output in outputs:
--- a/reedmount/sip/endpoint.py
+++ b/reedmount/sip/endpoint.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from reedmount.core.actors import Actor
 from reedmount.core.border import contained
 from reedmount.core.checks import COUNTERS, log
 from reedmount.net.connection import Address, Connection, End, both, text_of
-from reedmount.net.loop import READ, Actor, Loop
+from reedmount.net.loop import READ, Loop
 from reedmount.net.ring import Ring
 from reedmount.sip.framing import next_message
 from reedmount.sip.message import (
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -8,9 +8,10 @@
 from enum import Enum
 from typing import Protocol
 
+from reedmount.core.actors import Timer
 from reedmount.core.border import contained
 from reedmount.core.checks import COUNTERS
-from reedmount.net.loop import Loop, Timer
+from reedmount.net.loop import Loop
 from reedmount.sip.message import Message, SipError, first_value, parameter, request, response
 
 COOKIE = "z9hG4bK"
--- a/reedmount/sources/host.py
+++ b/reedmount/sources/host.py
@@ -8,11 +8,12 @@
 from datetime import datetime, timedelta
 
 from reedmount import interface as i
+from reedmount.core.actors import Timer
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import ZERO
 from reedmount.core.ports import Listed
 from reedmount.core.switch import Switch
-from reedmount.net.loop import Loop, Timer
+from reedmount.net.loop import Loop
 from reedmount.pool.bands import Bands, BandSettings
 from reedmount.pool.pool import SLICE, Change, Entry, Past, Pool, Slice
 from reedmount.pool.rule import Rule
--- a/reedmount/sources/srv.py
+++ b/reedmount/sources/srv.py
@@ -7,13 +7,14 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from reedmount.core.actors import Timer
 from reedmount.core.checks import COUNTERS, log
 from reedmount.dns.answers import Answer
 from reedmount.dns.asking import GivenUp
 from reedmount.dns.reader import Question
 from reedmount.dns.resolver import BETWEEN_SLICES, Resolver, ResolverSettings
 from reedmount.dns.watch import Heard, Retry, Watch
-from reedmount.net.loop import Loop, Timer
+from reedmount.net.loop import Loop
 from reedmount.sources.host import PoolHost
 
 NAME = "srv"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,10 +10,11 @@
 
 import pytest
 
+from reedmount.core.actors import Actor
 from reedmount.core.checks import Counters, invariant
 from reedmount.core.clock import ZERO, Clock, micros, span, whole_millis
 from reedmount.net.connection import Connection, End, address_of, bind
-from reedmount.net.loop import Actor, Loop
+from reedmount.net.loop import Loop
 from reedmount.net.ring import Ring
 from tests.scenario import HOST, VirtualTime
 
