Share call servers among the members that are alive, where the view is sure

Need: cold budgets and shares of free lines went by the configured number, whoever was there. A property test holds the sum for any split.

--- a/reedmount/members/protocol.py
+++ b/reedmount/members/protocol.py
@@ -129,6 +129,11 @@
         self._say(now, replace(self.me, incarnation=self.me.incarnation + 1, zone=zone, build=build))
         return self._done()
 
+    @property
+    def alive(self) -> int:
+        """How many are alive as we see it, ourselves included; a suspected one may be, and counts."""
+        return len(self.view.there) + 1
+
     @property
     def me(self) -> Record:
         """What we say of ourselves."""
--- a/reedmount/operate.py
+++ b/reedmount/operate.py
@@ -5,10 +5,12 @@
 import os
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import dns.zone
 
+from reedmount import interface as i
 from reedmount.config import ConfigError
 from reedmount.core.checks import log
 from reedmount.core.lifecycle import Phase
@@ -139,9 +141,13 @@
         raise ConfigError(str(error)) from None
     front.first_choice = sources.host.first_choice
     peers = _open_peers(loop, made, config)
+    if peers is not None:
+        peers.on_change(lambda _: made.settle(_shared(config.settings, peers)))
     views: dict[str, View] = {POOL: lambda query: sources.host.view(_after(query))}
     if peers is not None:
-        views[MEMBERS] = peers.view
+        views[MEMBERS] = lambda query: {
+            **peers.view(query), "shared_among": made.switch.settings.proxies
+        }  # fmt: skip
     made.open_door(config.control, views)
     made.where = f"SIP served at {text_of(front.endpoint.address)}, call servers from {_named(config)}"
     made.parts = (front, sources, peers)
@@ -154,7 +160,7 @@
         except ZoneError as error:
             raise ConfigError(str(error)) from None
         old, config = config, fresh
-        made.settle(config.settings)
+        made.settle(_shared(config.settings, peers))
         front.settings = config.sip
         places = [
             (item.sip.listen, item.sip.listen6, item.sip.timers,
@@ -187,6 +193,15 @@
     return peers
 
 
+def _shared(settings: i.Settings, peers: Peers | None) -> i.Settings:
+    """Settings that share the call servers among as many as the view has, where it is sure."""
+    if peers is None:
+        return settings
+    from reedmount.members.shares import sharers
+
+    return replace(settings, proxies=sharers(settings.proxies, peers.alive, peers.standing.may_decide))
+
+
 def _named(config: Operator) -> str:
     """The sources, for the line at the start."""
     parts = []
--- a/reedmount/peers/host.py
+++ b/reedmount/peers/host.py
@@ -68,6 +68,11 @@
         """Whether this member may decide for all."""
         return self.protocol.standing
 
+    @property
+    def alive(self) -> int:
+        """How many members are alive as we see it, ourselves included."""
+        return self.protocol.alive
+
     def on_change(self, hear: Hear) -> None:
         """Have somebody hear of each change of a member, and of our standing."""
         self._told.append(hear)
--- a/standins/faults/cases.py
+++ b/standins/faults/cases.py
@@ -301,3 +301,20 @@
         took = _one_view(rig, 60)
         changes = checks.restless(rig.history, 0.0)
         return {"one view after, s": took, "changes in a view": changes, "looked at": looks} | _finish(rig)
+
+
+@case
+def shares(folder: Path, seed: int) -> Figures:
+    """Two of eight die: the others share the call servers among seven at the least, and among eight again."""
+    with Rig(folder, 8, seed) as rig:
+        rig.started()
+        rig.kill("n6", "n7")
+        assert rig.until(rig.agreed, 2 * KNOWN_S)
+        rig.run(0.5)
+        after = rig.shared("n0")
+        rig.start(["n6", "n7"])
+        assert rig.until(rig.agreed, 2 * KNOWN_S)
+        rig.run(0.5)
+        again = rig.shared("n0")
+        assert (after, again) == (7, 8), f"shared among {after}, then {again}"
+        return {"among, two dead": after, "among, all back": again} | _finish(rig)
--- a/standins/faults/rig.py
+++ b/standins/faults/rig.py
@@ -85,6 +85,7 @@
         self.names = [f"n{number}" for number in range(members)]
         own = {name: (self._host(number + 1), 7946) for number, name in enumerate(self.names)}
         proxies = {name: (self._host(PROXY + number), 7946) for number, name in enumerate(self.names)}
+        self._own = own
         self.net = Net(own, proxies, self.rng.getrandbits(32))
         self._tell = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._tell.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
@@ -248,6 +249,17 @@
         """Whose process runs and is not stopped."""
         return [name for name, one in self.processes.items() if one.running and not one.stopped]
 
+    def shared(self, name: str) -> int:
+        """Among how many a member shares the call servers, as its door says."""
+        with socket.create_connection((self._own[name][0], 8060), timeout=5) as door:
+            door.sendall(b"GET /admin/members HTTP/1.1\r\nHost: rig\r\n\r\n")
+            said = b""
+            while data := door.recv(65536):
+                said += data
+        found = json.loads(said.partition(b"\r\n\r\n")[2])
+        assert isinstance(found, dict)
+        return int(found["shared_among"])
+
     def state(self, by: str, about: str) -> str | None:
         """What one last said that it thinks of another."""
         known = self.views[by].get(about)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -17,6 +17,7 @@
 from reedmount.members.outbox import Send
 from reedmount.members.record import Record, State, record_of
 from reedmount.members.settings import Timing
+from reedmount.members.shares import sharers
 from reedmount.members.spread import Spread
 from reedmount.members.standing import Count, Roster, Standing
 from reedmount.members.suspicion import Suspicion
@@ -526,3 +527,18 @@
 
 Chaos.TestCase.settings = settings(max_examples=25, stateful_step_count=12, deadline=None)
 TestChaos = Chaos.TestCase
+
+
+@given(st.integers(1, 2000), st.integers(0, 2000), st.integers(0, 2000))
+def test_however_many_are_cut_off_all_together_take_no_more_than_a_cold_server_bears(
+    configured: int, alive: int, guests: int
+) -> None:
+    """The alive ones go by the view, those cut off by the settings: the module leaves 13/16 of what tips."""
+    alive = min(alive, configured)
+    if alive * 2 <= configured:
+        assert sharers(configured, max(1, alive), sure=False) >= configured
+        return
+    ours = alive / sharers(configured, alive, sure=True)
+    theirs = (configured - alive) / sharers(configured, configured - alive, sure=False)
+    assert 13 / 16 * (ours + theirs) < 1
+    assert sharers(configured, configured + guests, sure=False) == configured + guests
