--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -3,6 +3,7 @@
     python -m benchmarks.members detection --members 256 --seconds 120 --kills 12
     python -m benchmarks.members load
     python -m benchmarks.members heal
+    python -m benchmarks.members rejoin
     python -m benchmarks.members real --seconds 120 --kills 10
     python -m benchmarks.members chart docs/membership-detection.png FILE...
 
@@ -16,6 +17,7 @@
 import statistics
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 
 import click
@@ -23,10 +25,13 @@
 from reedmount.members.record import State
 from standins.faults import checks
 from standins.faults.rig import Rig
+from standins.fleet.fleet import Fleet
+from standins.fleet.settings import Callers, days
 from standins.gossip.net import Group, Way
 
 LOSSES = (0.0, 0.1, 0.3)
 DELAY_S = (0.0042, 0.024)  # one way, as between zones of the platform
+SPANS = ((5, 15), (16, 18), (18, 20), (20, 23), (23, 26), (26, 32))  # seconds of a day with a restart at 15
 SETTLED_S = 40.0  # after a start of all at once, all that gossip has to say is said
 
 
@@ -186,6 +191,40 @@
         )
 
 
+def _rejoin(load: float, exchange: bool, seed: int) -> list[tuple[float, float]]:
+    day = replace(
+        days()["calm"], instances=8, servers=4, length_s=32.0, callers=Callers(load=load, uneven=0.3),
+        troubles=(("restart", 15.0, 0.5),), exchange=exchange,
+    )  # fmt: skip
+    fleet = Fleet(day, seed)
+    fleet.run()
+    down, others = range(4), range(4, 8)
+    return [
+        (fleet.figures.service_of(down, *span), fleet.figures.service_of(others, *span)) for span in SPANS
+    ]
+
+
+@main.command()
+@click.option("--load", default=0.9, show_default=True, help="of what the call servers can do")
+@click.option("--seeds", default=16, show_default=True)
+def rejoin(load: float, seeds: int) -> None:
+    """Half of eight restart at 15 s: their service and the others', with and without what these know."""
+    click.echo("| | " + " | ".join(f"{begin} to {end} s" for begin, end in SPANS) + " |")
+    click.echo("| --- |" + " --- |" * len(SPANS))
+    with ProcessPoolExecutor(max_workers=4) as pool:
+        for exchange in (False, True):
+            runs = list(pool.map(_rejoin, [load] * seeds, [exchange] * seeds, range(1, seeds + 1)))
+            for place, who in enumerate(("restarted", "others")):
+                means = [statistics.mean(run[span][place] for run in runs) for span in range(len(SPANS))]
+                name = f"{who}, {'with' if exchange else 'without'}"
+                click.echo(f"| {name} | " + " | ".join(f"{mean:.3f}" for mean in means) + " |")
+            gaps = [[run[span][1] - run[span][0] for run in runs] for span in range(len(SPANS))]
+            shown = (
+                f"{statistics.mean(gap):.3f} ± {statistics.stdev(gap) / len(gap) ** 0.5:.3f}" for gap in gaps
+            )
+            click.echo("| behind the others (standard error) | " + " | ".join(shown) + " |")
+
+
 def _real(loss: float, seconds: float, kills: int, folder: str) -> dict[str, object]:
     firsts, alls = [], []
     with Rig(Path(folder), 8, 1) as rig:
--- a/standins/fleet/callers.py
+++ b/standins/fleet/callers.py
@@ -31,7 +31,7 @@
         self._name: int | None = None
         self._tries = 0
         self._over = False
-        fleet.figures.offer(self.first_s, kind.worth)
+        fleet.figures.offer(self.first_s, kind.worth, home.number)
 
     def dial(self) -> None:
         """Try once."""
@@ -65,7 +65,7 @@
         fleet.figures.second += server.number != self._choice
         late = took_s > kind.aim_s
         fleet.stood(server, self._rng.expovariate(1 / kind.hold_s))
-        fleet.figures.earn(self.first_s, kind.worth * (0.25 if late else 1.0), late)
+        fleet.figures.earn(self.first_s, kind.worth * (0.25 if late else 1.0), late, self._home.number)
 
     def answered(self, how: str, pause_s: float) -> None:
         """It was not set up: dial again, or let it be."""
--- a/standins/fleet/faults.py
+++ b/standins/fleet/faults.py
@@ -9,6 +9,7 @@
 import simpy
 
 from reedmount import interface as i
+from standins.fleet.exchange import learn
 
 if TYPE_CHECKING:
     from standins.fleet.fleet import Fleet
@@ -17,6 +18,7 @@
 Trouble = Generator[simpy.Event, object, None]
 REPLACED_WITHIN_S, DRAINED_S = 7.0, 6.0
 BACK_S = (1.4, 7.7)
+RESTARTED_S, JOINED_S = 0.7, 0.1
 
 
 def replace(fleet: Fleet, when: float, size: float, rng: random.Random) -> Trouble:
@@ -50,6 +52,23 @@
         fleet.after(rng.uniform(*BACK_S), instance.start)
 
 
+def restart(fleet: Fleet, when: float, size: float, rng: random.Random) -> Trouble:
+    """Such a share of the instances, the first ones, are killed at once and back within a second with their
+    last list; where the day has an exchange, they learn from those that ran on."""
+    yield fleet.env.timeout(when)
+    count = round(size * len(fleet.instances))
+    down, others = fleet.instances[:count], fleet.instances[count:]
+    for instance in down:
+        instance.kill()
+    yield fleet.env.timeout(RESTARTED_S)
+    for instance in down:
+        instance.start()
+    if fleet.day.exchange:
+        yield fleet.env.timeout(JOINED_S)
+        for instance in down:
+            learn(instance, others, fleet.now_us)
+
+
 def cut(fleet: Fleet, when: float, size: float, rng: random.Random) -> Trouble:
     """One zone is cut off from the others for so many seconds."""
     yield fleet.env.timeout(when)
@@ -97,5 +116,6 @@
 
 
 TROUBLES: dict[str, Callable[[Fleet, float, float, random.Random], Trouble]] = {
-    "replace": replace, "deaths": deaths, "cut": cut, "zone": zone, "failing": failing, "slow": slow,
+    "replace": replace, "deaths": deaths, "restart": restart, "cut": cut, "zone": zone,
+    "failing": failing, "slow": slow,
 }  # fmt: skip
--- a/standins/fleet/figures.py
+++ b/standins/fleet/figures.py
@@ -4,7 +4,7 @@
 
 import statistics
 from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from standins.fleet.processor import Processor
@@ -28,15 +28,20 @@
     by_second: dict[int, list[float]] = field(default_factory=lambda: defaultdict(lambda: [0.0, 0.0]))
     steps: dict[str, Counter[int]] = field(default_factory=lambda: defaultdict(Counter))
     delays: list[float] = field(default_factory=list)
+    by_home: dict[tuple[int, int], list[float]] = field(  # as by_second, of each instance
+        default_factory=lambda: defaultdict(lambda: [0.0, 0.0])
+    )
 
-    def offer(self, now_s: float, worth: float) -> None:
-        """A first try."""
+    def offer(self, now_s: float, worth: float, home: int) -> None:
+        """A first try at an instance."""
+        self.by_home[home, int(now_s)][0] += worth
         self.offered += 1
         self.worth += worth
         self.by_second[int(now_s)][0] += worth
 
-    def earn(self, first_s: float, worth: float, late: bool) -> None:
-        """A call stands that was first tried then."""
+    def earn(self, first_s: float, worth: float, late: bool, home: int) -> None:
+        """A call stands that was first tried then, at that instance."""
+        self.by_home[home, int(first_s)][1] += worth
         self.earned += worth
         self.late += worth if late else 0.0
         self.by_second[int(first_s)][1] += worth
@@ -51,6 +56,13 @@
         """Worth earned over worth offered."""
         return self.earned / max(1e-9, self.worth)
 
+    def service_of(self, homes: Collection[int], since_s: int, until_s: int) -> float:
+        """The service of these instances, for calls first tried within a span of whole seconds."""
+        pairs = [
+            pair for (home, at), pair in self.by_home.items() if home in homes and since_s <= at < until_s
+        ]
+        return sum(pair[1] for pair in pairs) / max(1e-9, sum(pair[0] for pair in pairs))
+
     def worst(self, span: int = 10) -> float:
         """The service of the worst whole span of so many seconds."""
         seconds = sorted(self.by_second)[1:-1]
--- a/standins/fleet/instance.py
+++ b/standins/fleet/instance.py
@@ -83,7 +83,7 @@
         self.alive = True
         self._told = self._told if known is None else (1, known)
         self._life += 1
-        self._module = Controller(self.world.settings, self._seeds.getrandbits(63))
+        self.module = Controller(self.world.settings, self._seeds.getrandbits(63))
         self._inbox: deque[i.Event] = deque()
         self._busy = False
         version, entries = self._told
@@ -142,7 +142,7 @@
             return
         self._busy = True
         while self._inbox:
-            for action in self._module.handle(self.world.now_us, self._inbox.popleft()):
+            for action in self.module.handle(self.world.now_us, self._inbox.popleft()):
                 self._do(action)
         self._busy = False
 
--- a/standins/fleet/settings.py
+++ b/standins/fleet/settings.py
@@ -100,6 +100,7 @@
     server: Server = field(default_factory=Server)
     net: Net = field(default_factory=Net)
     troubles: tuple[tuple[str, float, float], ...] = ()  # name, when, size
+    exchange: bool = False  # whether instances that start anew learn from others
 
 
 def module_settings(day: Day) -> i.Settings:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -108,3 +108,18 @@
     assert played.calls == fleet.figures.offered > 0
     # What stands at the end of a day has not ended yet; nothing else holds a line.
     assert all(0 <= server.in_use <= server.tally.stood for server in fleet.all)
+
+
+def test_half_that_restart_at_once_are_level_with_the_others_within_ten_seconds() -> None:
+    """With what the others tell and without: 4 of 8 are killed at 15 s, before 4 servers at 0.9 of load."""
+    for exchange in (False, True):
+        changes = {"instances": 8, "servers": 4, "length_s": 32.0, "callers": Callers(load=0.9, uneven=0.3)}
+        gaps = []
+        for seed in range(1, 5):
+            troubles = (("restart", 15.0, 0.5),)
+            fleet = Fleet(replace(days()["calm"], **changes, troubles=troubles, exchange=exchange), seed)  # type: ignore[arg-type]
+            result = fleet.run()
+            assert result.fell == 0
+            others, down = (fleet.figures.service_of(part, 26, 32) for part in (range(4, 8), range(4)))
+            gaps.append(others - down)
+        assert sum(gaps) / len(gaps) < 0.1
