Members among the platform's peers behind a flag that is off; tests of both

Tests: each fault of [members] by its key, the shipped file says the defaults, the platform's list, three members on real sockets.

--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -48,11 +48,23 @@
     return serve_sip(loop, lambda: read_operator(path))
 
 
+def _join_peers(loop: Loop, node: Node) -> None:
+    """Be a member among the platform's peers, where it names any; without the flag none of it is imported."""
+    from reedmount.peers.host import Peers
+    from reedmount.peers.platform import read_peers
+
+    settings = read_peers(os.environ)
+    if settings is not None:
+        node.parts = Peers(loop, settings)
+
+
 def main(clock: Clock | None = None) -> int:
     """Serve until SIGTERM, by the system's clock unless another is given."""
     parser = argparse.ArgumentParser(prog="reedmount", description="A border controller for call set-ups.")
     parser.add_argument("--operator", metavar="FILE", type=Path, help="serve SIP as this file says")
-    operator: Path | None = parser.parse_args().operator
+    parser.add_argument("--members", action="store_true", help="on the platform: be a member among its peers")
+    arguments = parser.parse_args()
+    operator: Path | None = arguments.operator
     signals = catch_signals()
     loop = Loop(clock or Clock())
     try:
@@ -60,6 +72,8 @@
             node = _operated(loop, operator)
         else:
             node = Node.on_platform(loop, lambda: read_platform(os.environ))
+            if arguments.members:
+                _join_peers(loop, node)
     except ConfigError as error:
         log(f"reedmount: {error}")
         return 2
--- /dev/null
+++ b/reedmount/peers/platform.py
@@ -0,0 +1,52 @@
+"""Members on the platform: the peers of ``GW_CONFIG``. Off unless ``run`` says ``--members``."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from reedmount.config import ConfigError, address
+from reedmount.members.settings import Timing
+from reedmount.members.standing import Roster
+from reedmount.peers.settings import ROSTER_MOST, WAYS_MOST, PeerSettings
+
+# Datagrams are priced there by their length: half as many probes, and news at a third of the pace.
+TIMING = Timing(
+    interval=timedelta(seconds=1), timeout=timedelta(milliseconds=200), gossip=timedelta(milliseconds=300)
+)
+
+
+def read_peers(env: Mapping[str, str]) -> PeerSettings | None:
+    """Who our peers are; None where the configuration names none: then talk between instances is not allowed.
+
+    The file has been read and checked as a whole before (config.py). Raises ConfigError naming the key.
+    """
+    config = json.loads(Path(env["GW_CONFIG"]).read_text(encoding="utf-8"))
+    peers, listen = config.get("peers"), config.get("peer_listen")
+    if not peers or not listen:
+        return None
+    return settings_of(peers, address(listen, "peer_listen"))
+
+
+def settings_of(peers: Any, listen: Any) -> PeerSettings:
+    """A member for each peer, named by its number: the list is ordered by the numbers in the settings."""
+    if not isinstance(peers, list) or not 1 <= len(peers) <= ROSTER_MOST:
+        raise ConfigError(f"peers: not a list of 1 to {ROSTER_MOST} addresses")
+    addresses = [address(peer, "peers") for peer in peers]
+    if listen not in addresses or len(set(addresses)) < len(addresses):
+        raise ConfigError("peers: without peer_listen, or with an address twice")
+    own = addresses.index(listen)
+    after = addresses[own + 1 :] + addresses[:own]  # so that not all ask the same few who is there
+    return PeerSettings(
+        name=f"p{own}",
+        group="platform",
+        listen=listen,
+        advertise=listen,
+        ways_in=tuple(after[:WAYS_MOST]),
+        rosters=(Roster(0, frozenset(f"p{number}" for number in range(len(addresses)))),),
+        guests=False,
+        timing=TIMING,
+    )
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,118 @@
+"""Members on the loop: the operator's table, the platform's peers, datagrams on real sockets."""
+
+from __future__ import annotations
+
+import json
+import socket
+from dataclasses import replace
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from reedmount.config import ConfigError
+from reedmount.core.checks import COUNTERS
+from reedmount.members.standing import Standing
+from reedmount.operator_file import read_operator
+from reedmount.peers.host import HELD_MOST, Peers
+from reedmount.peers.platform import read_peers, settings_of
+from reedmount.peers.settings import PeerSettings
+from standins.world import World
+from tests.test_config import ROOT
+
+FILE = (ROOT / "deploy" / "members.toml").read_text()
+
+
+def members(folder: Path, old: str = "", new: str = "") -> PeerSettings:
+    assert old in FILE
+    path = folder / "members.toml"
+    path.write_text(FILE.replace(old, new, 1))
+    found = read_operator(path).members
+    assert found is not None
+    return found
+
+
+def test_the_shipped_file_says_the_defaults(tmp_path: Path) -> None:
+    kept = members(tmp_path)
+    needed = ("name = ", "group = ", "listen = ", "ways_in = ", "roster = ", "roster_version = ")
+    head, table, rest = FILE.partition("[members]")
+    bare = [line for line in rest.splitlines() if line.startswith(needed)]
+    text = "\n".join([head + table, *bare, rest[rest.index("[[class") :]])
+    (tmp_path / "bare.toml").write_text(text)
+    assert read_operator(tmp_path / "bare.toml").members == kept
+    assert kept.rosters[0].majority == 2 and kept.advertise == kept.listen
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ('name = "n1"', 'name = "a name of more than 24 bytes"', "members"),
+        ('name = "n1"', 'name = "n9"', "members.roster: 'n9' is not in it"),
+        ('group = "calls"', "", "members.group is missing"),
+        ('listen = "127.0.0.1:7946"', 'listen = "peer.example:7946"', "members.listen"),
+        ('ways_in = ["127.0.0.1:7947"', 'ways_in = ["127.0.0.1:0"', "members.ways_in"),
+        ('roster = ["n1", "n2", "n3"]', 'roster = ["n1", "n1"]', "members.roster: a name stands twice"),
+        ("interval_ms = 500", "interval_ms = 5", "members.interval_ms"),
+        ("timeout_ms = 150", "timeout_ms = 400", "members.timeout"),
+        ("relays = 3", "relays = 3\nrelay = 4", "members.relay is not known"),
+        ('zone = ""', 'zone = "a zone with too long a name"', "members"),
+        ("# previous_roster", 'previous_version = 2\nprevious_roster = ["n1"] #', "members.previous_version"),
+    ],
+)
+def test_each_fault_of_the_table_is_refused_by_its_key(tmp_path: Path, old: str, new: str, says: str) -> None:
+    with pytest.raises(ConfigError, match=says.replace("[", r"\[")):
+        members(tmp_path, old, new)
+
+
+def test_the_platform_s_peers_are_members_by_their_numbers(tmp_path: Path) -> None:
+    peers = [f"10.0.0.{number}:7946" for number in range(1, 200)]
+    path = tmp_path / "config.json"
+    for config, there in (({"peers": peers, "peer_listen": peers[3]}, True), ({}, False)):
+        path.write_text(json.dumps(config))
+        assert (read_peers({"GW_CONFIG": str(path)}) is not None) is there
+    found = settings_of(peers, ("10.0.0.4", 7946))
+    assert found.name == "p3" and found.rosters[0].majority == 100 and not found.guests
+    assert found.ways_in[0] == ("10.0.0.5", 7946) and len(found.ways_in) == 64
+    for wrong in ([], "all", peers[:3], [*peers, peers[0]]):
+        with pytest.raises(ConfigError, match="peers"):
+            settings_of(wrong, ("10.0.0.4", 7946))
+
+
+def test_members_on_real_sockets_find_each_other_show_it_and_say_when_they_go(tmp_path: Path) -> None:
+    world = World()
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(4)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    *places, listener = [sock.getsockname() for sock in socks]
+    for sock in socks[:3]:
+        sock.close()
+    plain = members(tmp_path)
+    told = replace(plain, tell=listener, ways_in=tuple(places))
+    group = [
+        Peers(world.loop, replace(told, name=f"n{number}", listen=place, advertise=place))
+        for number, place in enumerate(places, 1)
+    ]
+    assert world.until(lambda: all(peer.alive == 3 for peer in group), timedelta(seconds=5))
+    assert {peer.standing for peer in group} == {Standing.MAJORITY}
+    shown = group[0].view({})
+    assert [line["name"] for line in shown["members"]] == ["n1", "n2", "n3"]  # type: ignore[index,attr-defined]
+    assert group[0].view({"after": "n2"})["more"] is None
+    views = [peer.view({})["view"] for peer in group]
+    assert len({view["digest"] for view in views if isinstance(view, dict)}) == 1
+    line = json.loads(socks[3].recv(65536))
+    assert line["event"] in ("member", "standing") and line["n"] == 1
+
+    before = COUNTERS["members.dropped.no_room"]
+    group[0]._held.extend([(("127.0.0.1", 1), b"x")] * HELD_MOST)
+    socks[3].sendto(b"noise", places[0])
+    world.run(timedelta(milliseconds=20))
+    assert COUNTERS["members.dropped.no_room"] > before
+
+    group[2].leave()
+    assert world.until(lambda: group[0].alive == 2, timedelta(seconds=2))
+    group[2].close()
+    world.run(timedelta(seconds=20))
+    assert {peer.standing for peer in group[:2]} == {Standing.MAJORITY}
+    for peer in group[:2]:
+        peer.close()
+    socks[3].close()
