Mend the test of the shipped members file and a type comment

Cause: the file's first comment names [members] too, and the test cut there. Change: cut at the table's own line.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -35,9 +35,10 @@
 def test_the_shipped_file_says_the_defaults(tmp_path: Path) -> None:
     kept = members(tmp_path)
     needed = ("name = ", "group = ", "listen = ", "ways_in = ", "roster = ", "roster_version = ")
-    head, table, rest = FILE.partition("[members]")
-    bare = [line for line in rest.splitlines() if line.startswith(needed)]
-    text = "\n".join([head + table, *bare, rest[rest.index("[[class") :]])
+    head, _, rest = FILE.partition("\n[members]\n")
+    table, _, classes = rest.partition("[[class]]")
+    bare = [line for line in table.splitlines() if line.startswith(needed)]
+    text = "\n".join([head, "[members]", *bare, "[[class]]" + classes])
     (tmp_path / "bare.toml").write_text(text)
     assert read_operator(tmp_path / "bare.toml").members == kept
     assert kept.rosters[0].majority == 2 and kept.advertise == kept.listen
@@ -95,7 +96,7 @@
     assert world.until(lambda: all(peer.alive == 3 for peer in group), timedelta(seconds=5))
     assert {peer.standing for peer in group} == {Standing.MAJORITY}
     shown = group[0].view({})
-    assert [line["name"] for line in shown["members"]] == ["n1", "n2", "n3"]  # type: ignore[index,attr-defined]
+    assert [line["name"] for line in shown["members"]] == ["n1", "n2", "n3"]  # type: ignore[attr-defined]
     assert group[0].view({"after": "n2"})["more"] is None
     views = [peer.view({})["view"] for peer in group]
     assert len({view["digest"] for view in views if isinstance(view, dict)}) == 1
