--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -66,17 +66,26 @@
 
 
 def test_the_platform_s_peers_are_members_by_their_numbers(tmp_path: Path) -> None:
-    peers = [f"10.0.0.{number}:7946" for number in range(1, 200)]
+    """Where the settings allow talk; heard from an address in ``peers``, not from ``peer_listen``."""
+    peers = [f"10.3.0.{number}:7946" for number in range(1, 200)]
     path = tmp_path / "config.json"
-    for config, there in (({"peers": peers, "peer_listen": peers[3]}, True), ({}, False)):
-        path.write_text(json.dumps(config))
-        assert (read_peers({"GW_CONFIG": str(path)}) is not None) is there
-    found = settings_of(peers, ("10.0.0.4", 7946))
-    assert found.name == "p3" and found.rosters[0].majority == 100 and not found.guests
-    assert found.ways_in[0] == ("10.0.0.5", 7946) and len(found.ways_in) == 64
-    for wrong in ([], "all", peers[:3], [*peers, peers[0]]):
-        with pytest.raises(ConfigError, match="peers"):
-            settings_of(wrong, ("10.0.0.4", 7946))
+
+    def read(allowed: bool, **config: object) -> PeerSettings | None:
+        settings = {"allowed": {"peers": allowed}, "self_index": 3, "zone": "zurich"}
+        path.write_text(json.dumps({"settings": settings, **config}))
+        return read_peers({"GW_CONFIG": str(path)})
+
+    found = read(True, peers=peers, peer_listen="10.0.0.4:7946")
+    assert found is not None and read(True) is None
+    assert read(False, peers=peers, peer_listen="10.0.0.4:7946") is None
+    assert (found.name, found.zone, found.guests) == ("p3", "zurich", False)
+    assert (found.listen, found.advertise) == (("10.0.0.4", 7946), ("10.3.0.4", 7946))
+    assert found.rosters[0].majority == 100
+    assert found.ways_in[0] == ("10.3.0.5", 7946) and len(found.ways_in) == 64
+    wrongs = ([], 0), ("all", 0), (peers[:3], 3), ([*peers, peers[0]], 0), (peers, True), (peers, None)
+    for wrong, own in wrongs:
+        with pytest.raises(ConfigError, match="peers|self_index"):
+            settings_of(wrong, ("10.0.0.4", 7946), own)
 
 
 def test_members_on_real_sockets_find_each_other_show_it_and_say_when_they_go(tmp_path: Path) -> None:
