--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -82,7 +82,9 @@
     assert (found.listen, found.advertise) == (("10.0.0.4", 7946), ("10.3.0.4", 7946))
     assert found.rosters[0].majority == 100
     assert found.ways_in[0] == ("10.3.0.5", 7946) and len(found.ways_in) == 64
-    wrongs = ([], 0), ("all", 0), (peers[:3], 3), ([*peers, peers[0]], 0), (peers, True), (peers, None)
+    wrongs: list[tuple[object, object]] = [
+        ([], 0), ("all", 0), (peers[:3], 3), ([*peers, peers[0]], 0), (peers, True), (peers, None)
+    ]  # fmt: skip
     for wrong, own in wrongs:
         with pytest.raises(ConfigError, match="peers|self_index"):
             settings_of(wrong, ("10.0.0.4", 7946), own)
