--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -23,6 +23,7 @@
 import click
 
 from reedmount.members.record import State
+from reedmount.members.settings import Timing
 from standins.faults import checks
 from standins.faults.rig import Rig
 from standins.fleet.fleet import Fleet
@@ -41,8 +42,8 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
 
 
-def _group(members: int, seed: int, loss: float) -> Group:
-    group = Group(members, seed, way=Way(loss=loss, delay_s=DELAY_S))
+def _group(members: int, seed: int, loss: float, times: int = Timing().times) -> Group:
+    group = Group(members, seed, Timing(times=times), Way(loss=loss, delay_s=DELAY_S))
     group.start()
     group.run(SETTLED_S)
     group.history.clear()
@@ -145,12 +146,13 @@
 @main.command()
 @click.option("--sizes", default="8,64,256,1000", show_default=True)
 @click.option("--seconds", default=20.0, show_default=True)
-def load(sizes: str, seconds: float) -> None:
+@click.option("--times", default=Timing().times, show_default=True, help="1: 1,000 settle in 40 s")
+def load(sizes: str, seconds: float, times: int) -> None:
     """Bytes and datagrams a second of one member, in a quiet group and while one in a hundred dies."""
     click.echo("| members | bytes/s | datagrams/s | bytes/s for 20 s after a death | longest datagram |")
     click.echo("| --- | --- | --- | --- | --- |")
     for count in (int(text) for text in sizes.split(",")):
-        group = _group(count, 1, 0.0)
+        group = _group(count, 1, 0.0, times)
         before = sum(group.bytes.values()), sum(group.datagrams.values())
         group.run(seconds)
         bytes_s = (sum(group.bytes.values()) - before[0]) / count / seconds
