--- a/reedmount/core/background.py
+++ b/reedmount/core/background.py
@@ -82,13 +82,17 @@
 
     def _due(self) -> None:
         self._job = self._background.add(self._name, self._whole, self._urgency, self.span)
+        if self._job is None:
+            self._wait()
 
     def _whole(self) -> Slices:
-        slices = self._work()
-        if slices is not None:
-            yield from slices
-        if not self._stopped:
-            self._wait()
+        try:
+            slices = self._work()
+            if slices is not None:
+                yield from slices
+        finally:  # a fault costs one round, not all that were to come
+            if not self._stopped:
+                self._wait()
 
 
 class Background:
--- a/reedmount/peers/host.py
+++ b/reedmount/peers/host.py
@@ -128,11 +128,13 @@
             self._looking = job is not None
 
     def _look(self) -> Slices:
-        while self._held:
-            source, data = self._held.popleft()
-            self._do(self.protocol.heard(self._loop.clock.now(), source, data))
-            yield
-        self._looking = False
+        try:
+            while self._held:
+                source, data = self._held.popleft()
+                self._do(self.protocol.heard(self._loop.clock.now(), source, data))
+                yield
+        finally:  # a fault costs one datagram, not all that come after it
+            self._looking = False
 
     def _wake(self) -> None:
         self._timer = self._timer_at = None
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -108,6 +108,32 @@
     assert len(at) == 3 and not loop.background.waiting
 
 
+def test_repeated_work_goes_on_after_a_fault_and_after_a_time_without_room(
+    time: VirtualTime, loop: Loop
+) -> None:
+    begun: list[float] = []
+
+    def work() -> Slices:
+        begun.append(time.seconds)
+        if len(begun) == 1:
+            raise RuntimeError("bad")
+        yield
+
+    loop.background.every("again", 100 * MS, work, Urgency.SWEEP)
+    time.seconds += 0.11
+    with pytest.raises(RuntimeError):  # a debug build stops there; a release build goes on
+        loop.turn(timedelta(0))
+    filled = [loop.background.add("many", lambda: None, Urgency.SWEEP, LATER) for _ in range(JOBS_MOST)]
+    time.seconds += 0.11
+    loop._run_timers()  # due while there is no room
+    for job in filled:
+        assert job is not None
+        job.cancel()
+    time.seconds += 0.11
+    loop.turn(timedelta(0))
+    assert len(begun) == 2
+
+
 def test_too_much_is_refused_and_counted(loop: Loop) -> None:
     background: Background = loop.background
     jobs = [background.add("many", lambda: None, Urgency.SWEEP, LATER) for _ in range(JOBS_MOST + 1)]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 
 from reedmount.config import ConfigError
 from reedmount.core.checks import COUNTERS
+from reedmount.members.outbox import Output
 from reedmount.members.standing import Standing
 from reedmount.operator_file import read_operator
 from reedmount.peers.host import HELD_MOST, Peers
@@ -120,6 +121,18 @@
     world.run(timedelta(milliseconds=20))
     assert COUNTERS["members.dropped.no_room"] > before
 
+    plain_heard, faults = group[1].protocol.heard, COUNTERS["members.heard"]
+
+    def bad(*_: object) -> list[Output]:
+        group[1].protocol.heard = plain_heard  # type: ignore[method-assign]
+        raise RuntimeError("bad")
+
+    group[1].protocol.heard = bad  # type: ignore[method-assign,assignment]
+    with pytest.raises(RuntimeError):  # a debug build stops there
+        world.run(timedelta(seconds=2))
+    world.run(timedelta(seconds=2))
+    assert not group[1]._looking and COUNTERS["members.heard"] > faults, "a fault made it deaf"
+
     group[2].leave()
     assert world.until(lambda: group[0].alive == 2, timedelta(seconds=2))
     group[2].close()
