Have a test's ports below those of outgoing connections, free for UDP and TCP

The stand-in is not at fault: with a given port it must fail.

Change: ports of that test come from 20000 to 31999, below ip_local_port_range, and are free for both at each host used.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import select
 import signal
 import socket
@@ -166,18 +167,27 @@
     assert "reedmount.fronts.platform" in loaded
 
 
-def free_port(kind: socket.SocketKind, host: str) -> int:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+def free_port(*hosts: str) -> int:
+    """A port that is free for UDP and TCP at all of them, below those that the system gives to outgoing
+    connections: one of these may take a port between our look and its use."""
+    for port in random.sample(range(20_000, 32_000), 64):
+        try:
+            for host in hosts:
+                for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+                    with socket.socket(socket.AF_INET, kind) as sock:
+                        sock.bind((host, port))
+        except OSError:
+            continue
+        return port
+    raise AssertionError(f"no free port at {hosts}")
 
 
 def test_the_shipped_srv_installation_completes_calls_against_the_stand_ins(tmp_path: Path) -> None:
     """As the README has it: name server and call servers, the program, callers; at ports that are free."""
     text = (ROOT / "deploy" / "srv.toml").read_text()
     zone = (ROOT / "deploy" / "srv.zone").read_text()
-    names, sip = free_port(socket.SOCK_DGRAM, HOST), free_port(socket.SOCK_DGRAM, HOST)
-    server = free_port(socket.SOCK_DGRAM, "127.0.0.2")
+    names, sip = free_port(HOST), free_port(HOST)
+    server = free_port("127.0.0.2", "127.0.0.3")
     text = text.replace("127.0.0.1:5300", f"{HOST}:{names}").replace("127.0.0.1:5060", f"{HOST}:{sip}")
     text = text.replace("5070", str(server)).replace("127.0.0.1:8060", f"{HOST}:0")
     (tmp_path / "srv.toml").write_text(text)
