One place among the members for two processes of an upgrade, had by one at a time

Cause: Peers binds at its start, and the old process keeps the address until its end. Ruled out: SO_REUSEPORT (datagrams of one sender go to one of the two by a hash, so each misses answers); giving the socket over the hand-over's own channel (a second protocol, and nothing is gained where one of the two dies). No leave is said, since the name stays. Node tells of the hand-over and of the end. Also: a socket that could not be bound was left open. Measured: the watcher of tests/test_seat.py with two real processes sees one member with a new life, never suspected; before, the second process exited with 1.

--- a/reedmount/__main__.py
+++ b/reedmount/__main__.py
@@ -50,12 +50,14 @@
 
 def _join_peers(loop: Loop, node: Node) -> None:
     """Be a member among the platform's peers, where it names any; without the flag none of it is imported."""
-    from reedmount.peers.host import Peers
     from reedmount.peers.platform import read_peers
+    from reedmount.peers.seat import Seat
 
     settings = read_peers(os.environ)
     if settings is not None:
-        node.parts = Peers(loop, settings)
+        node.parts = seat = Seat(loop, settings)
+        node.on_hand_over(seat.hand_over)
+        node.on_end(seat.leave)
 
 
 def main(clock: Clock | None = None) -> int:
--- a/reedmount/node.py
+++ b/reedmount/node.py
@@ -17,7 +17,7 @@
 from reedmount.fronts.board import Board, Pool
 from reedmount.fronts.lanes import CallServers
 from reedmount.fronts.platform import Callers
-from reedmount.fronts.twin import Heirs, ask
+from reedmount.fronts.twin import Heirs, Word, ask
 from reedmount.net.connection import Address, text_of
 from reedmount.net.loop import Loop
 
@@ -40,6 +40,7 @@
         self._lifecycle = self.switch.lifecycle
         self._took = self._heirs_open = False
         self._reread: Callable[[], None] = lambda: None
+        self._handed: list[Callable[[bool], None]] = []
         self.where = ""
         self.parts: object = None  # what lives as long as it does
 
@@ -108,9 +109,14 @@
             callers.take_back()
             if taken:
                 heirs.open()
+                self._hand(False)
+
+        def hand_over(_: Word) -> None:
+            callers.hand_over()
+            self._hand(True)
 
         heirs = Heirs(self._loop, folder, callers.listener.sock, joined)
-        callers.twin.on("ready", lambda _: callers.hand_over())
+        callers.twin.on("ready", hand_over)
         callers.twin.on_lost = lost
 
         def when_ready() -> None:
@@ -121,6 +127,22 @@
         self._lifecycle.on_change(when_ready)
         when_ready()
 
+    def on_hand_over(self, tell: Callable[[bool], None]) -> None:
+        """Hear that another process has the clients from now on, or (False) that it died and we have them."""
+        self._handed.append(tell)
+
+    def on_end(self, tell: Callable[[], None]) -> None:
+        """Hear that the end has begun."""
+        def changed() -> None:
+            if self._lifecycle.phase is Phase.ENDING:
+                tell()
+
+        self._lifecycle.on_change(changed)
+
+    def _hand(self, to_another: bool) -> None:
+        for tell in self._handed:
+            tell(to_another)
+
     def open_door(self, address: Address | None, views: Mapping[str, View] | None = None) -> None:
         """Listen for operators, where the configuration says so."""
         if address is not None:
--- a/reedmount/operate.py
+++ b/reedmount/operate.py
@@ -13,7 +13,6 @@
 from reedmount import interface as i
 from reedmount.config import ConfigError
 from reedmount.core.checks import log
-from reedmount.core.lifecycle import Phase
 from reedmount.core.switch import Switch
 from reedmount.dns.server import UpdateServer
 from reedmount.dns.update import Master
@@ -184,12 +183,7 @@
 
     peers = Peers(loop, config.members)
     log(f"member {config.members.name} of {config.members.group} at {text_of(peers.address)}")
-
-    def leave_at_the_end() -> None:
-        if node.switch.lifecycle.phase is Phase.ENDING:
-            peers.leave()
-
-    node.switch.lifecycle.on_change(leave_at_the_end)
+    node.on_end(peers.leave)
     return peers
 
 
--- a/reedmount/peers/host.py
+++ b/reedmount/peers/host.py
@@ -42,7 +42,11 @@
         self._life = int.from_bytes(os.urandom(4), "big")
         self._sock = socket.socket(family_of(settings.listen), socket.SOCK_DGRAM)
         self._sock.setblocking(False)
-        self._sock.bind(settings.listen)
+        try:
+            self._sock.bind(settings.listen)
+        except OSError:
+            self._sock.close()
+            raise
         seed = int.from_bytes(os.urandom(8), "big")
         self.protocol = Protocol(
             settings.timing, settings.group, settings.me(self._life), settings.rosters,
--- /dev/null
+++ b/tests/test_seat.py
@@ -0,0 +1,123 @@
+"""Two processes of an upgrade and one place among the members."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from reedmount.core.clock import Clock
+from reedmount.members.outbox import Stood
+from reedmount.members.standing import Standing
+from reedmount.members.view import Change
+from reedmount.net.connection import Address, text_of
+from reedmount.net.loop import Loop
+from reedmount.peers.host import Peers
+from reedmount.peers.platform import settings_of
+from reedmount.peers.seat import Seat
+from standins.world import World
+from tests.scenario import HOST
+from tests.test_board import notice
+from tests.test_config import SETTINGS, platform
+from tests.test_start import line, started
+
+
+def _places(count: int) -> list[Address]:
+    """Addresses of which nobody has one now."""
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in socks:
+        sock.bind((HOST, 0))
+    places = [sock.getsockname() for sock in socks]
+    for sock in socks:
+        sock.close()
+    return places
+
+
+def _lives(seen: list[str]) -> Callable[[Change | Stood], None]:
+    """Keep what becomes of the other one, with its life."""
+    def hear(change: Change | Stood) -> None:
+        if isinstance(change, Change) and change.new is not None:
+            text = f"{change.new.state.name.lower()} {change.new.life}"
+            if not seen or seen[-1] != text:
+                seen.append(text)
+
+    return hear
+
+
+def _until(loop: Loop, done: Callable[[], bool], longest_s: float = 20) -> bool:
+    """Turn it in real time."""
+    end = time.monotonic() + longest_s
+    while not done() and time.monotonic() < end:
+        loop.turn(timedelta(milliseconds=50))
+    return done()
+
+
+def test_two_processes_of_one_member_have_its_address_one_after_the_other() -> None:
+    """The second process of an upgrade ended at its start: the first one had the address."""
+    world = World()
+    places = _places(2)
+    old = Seat(world.loop, settings_of(list(map(text_of, places)), places[0], 0))
+    watcher = Peers(world.loop, settings_of(list(map(text_of, places)), places[1], 1))
+    seen: list[str] = []
+    watcher.on_change(_lives(seen))
+    assert world.until(lambda: bool(seen), timedelta(seconds=5))
+    heir = Seat(world.loop, settings_of(list(map(text_of, places)), places[0], 0))
+    world.run(timedelta(seconds=1))
+    assert old.peers is not None and heir.peers is None, "the first one has the clients still"
+    old.hand_over(True)
+    assert old.peers is None
+    assert world.until(lambda: len(seen) == 2, timedelta(seconds=3)), "a new life of the same member"
+    world.run(timedelta(seconds=1))  # it has heard the others as well
+    heir.leave()
+    world.settle()
+    old.hand_over(False)
+    old.hand_over(False)
+    assert world.until(lambda: len(seen) == 4, timedelta(seconds=3)), seen
+    kinds = [text.partition(" ")[0] for text in seen]
+    assert kinds == ["alive", "alive", "left", "alive"], seen
+    assert len({text.partition(" ")[2] for text in seen}) == 3, "a life each"
+    assert watcher.alive == 2 and watcher.standing is Standing.MAJORITY
+    old.leave()
+    watcher.close()
+
+
+def test_an_address_that_is_none_of_ours_is_said_at_the_start() -> None:
+    with pytest.raises(OSError, match="assign"):
+        Seat(World().loop, settings_of(["192.0.2.1:7946"], ("192.0.2.1", 7946), 0))
+
+
+def test_an_upgrade_on_the_platform_is_one_member_with_a_new_life(tmp_path: Path) -> None:
+    """With real processes: the second one has the address when it has the clients, not before."""
+    loop = Loop(Clock())
+    places = _places(2)
+    peers = list(map(text_of, places))
+    settings = {**SETTINGS, "self_index": 0, "allowed": {"max_attempts": 4, "cancel": True, "peers": True}}
+    platform(tmp_path, known={"rev": 1, "notices": [notice(1, whole=True)]}, settings=settings,
+             peers=peers, peer_listen=peers[0])  # fmt: skip
+    env = {"GW_CONFIG": str(tmp_path / "config.json"), "TMPDIR": str(tmp_path)}
+    watcher = Peers(loop, settings_of(peers, places[1], 1))
+    seen: list[str] = []
+    watcher.on_change(_lives(seen))
+    with started("--members", **env, GW_LISTEN=f"{HOST}:0") as old:
+        while "serves at" not in (said := line(old)):
+            pass
+        port = said.rpartition(":")[2].strip()
+        assert _until(loop, lambda: len(seen) == 1)
+        with started("--members", **env, GW_LISTEN=f"{HOST}:{port}") as new:
+            # It has the clients 2 s after its start: there is no board to be read before that.
+            assert _until(loop, lambda: len(seen) == 2), seen
+            old.send_signal(signal.SIGTERM)
+            assert old.wait(20) == 0
+            assert not _until(loop, lambda: len(seen) > 2, 4), seen
+            assert new.poll() is None
+            lives = [text.split() for text in seen]
+            assert [state for state, _ in lives] == ["alive", "alive"] and lives[0][1] != lives[1][1]
+            new.send_signal(signal.SIGTERM)
+            assert _until(loop, lambda: seen[-1].startswith("left")), seen
+            assert new.wait(20) == 0
+    watcher.close()
