Meet by SRV names; the load of 1,000 quiet members

Need: members could join by addresses of the file alone; the load table's row of 1,000 was of a group that still told its start. Change: [members.srv] with the watches and resolver of call servers (peers/ways.py; SrvSource speaks to whoever hears, its table is read by sources/srv_reader.py); the rig's name server and case by_name; Group.acquaint for a group that is quiet.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -23,7 +23,6 @@
 import click
 
 from reedmount.members.record import State
-from reedmount.members.settings import Timing
 from standins.faults import checks
 from standins.faults.rig import Rig
 from standins.fleet.fleet import Fleet
@@ -33,6 +32,7 @@
 LOSSES = (0.0, 0.1, 0.3)
 DELAY_S = (0.0042, 0.024)  # one way, as between zones of the platform
 SPANS = ((5, 15), (16, 18), (18, 20), (20, 23), (23, 26), (26, 32))  # seconds of a day with a restart at 15
+QUIET_S = 20.0  # of members that know each other: each has told of itself
 SETTLED_S = 40.0  # after a start of all at once, all that gossip has to say is said
 
 
@@ -42,8 +42,8 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
 
 
-def _group(members: int, seed: int, loss: float, times: int = Timing().times) -> Group:
-    group = Group(members, seed, Timing(times=times), Way(loss=loss, delay_s=DELAY_S))
+def _group(members: int, seed: int, loss: float) -> Group:
+    group = Group(members, seed, way=Way(loss=loss, delay_s=DELAY_S))
     group.start()
     group.run(SETTLED_S)
     group.history.clear()
@@ -146,13 +146,16 @@
 @main.command()
 @click.option("--sizes", default="8,64,256,1000", show_default=True)
 @click.option("--seconds", default=20.0, show_default=True)
-@click.option("--times", default=Timing().times, show_default=True, help="1: 1,000 settle in 40 s")
-def load(sizes: str, seconds: float, times: int) -> None:
-    """Bytes and datagrams a second of one member, in a quiet group and while one in a hundred dies."""
+def load(sizes: str, seconds: float) -> None:
+    """Bytes and datagrams a second of one member, in a quiet group and after a death."""
     click.echo("| members | bytes/s | datagrams/s | bytes/s for 20 s after a death | longest datagram |")
     click.echo("| --- | --- | --- | --- | --- |")
     for count in (int(text) for text in sizes.split(",")):
-        group = _group(count, 1, 0.0, times)
+        group = Group(count, 1, way=Way(delay_s=DELAY_S))
+        group.start()
+        group.acquaint()
+        group.run(QUIET_S)
+        assert group.agreed() and not group.busy(), "not a quiet group"
         before = sum(group.bytes.values()), sum(group.datagrams.values())
         group.run(seconds)
         bytes_s = (sum(group.bytes.values()) - before[0]) / count / seconds
--- a/reedmount/members/protocol.py
+++ b/reedmount/members/protocol.py
@@ -28,13 +28,7 @@
 from reedmount.members.standing import Count, Roster, Standing
 from reedmount.members.suspects import AT_LAST, Suspects
 from reedmount.members.view import Change, View
-from reedmount.members.wire import (
-    Kind,
-    Message,
-    WireError,
-    group_of,
-    read,
-)  # fmt: skip
+from reedmount.members.wire import Kind, Message, WireError, group_of, read
 from reedmount.net.connection import Address
 
 TOUCH_HEARD = 5  # others heard of late, or a majority where that is less: then we are in touch
@@ -124,7 +118,7 @@
     def ways(self, now: datetime, found: Iterable[Address]) -> list[Output]:
         """Addresses to join by, beside those of the settings; they take the place of those found before."""
         self._found_ways = tuple(way for way in dict.fromkeys(found) if way != self.me.address)[:WAYS_FOUND]
-        if not self._joined and not self.left:
+        if not self._in_touch and not self.left:
             self._join(now)
         return self._done()
 
@@ -145,6 +139,11 @@
         """How many are alive as we see it, ourselves included; a suspected one may be, and counts."""
         return len(self.view.there) + 1
 
+    @property
+    def news(self) -> int:
+        """How much is still to be passed on: records of members and words of call servers."""
+        return len(self._spread) + len(self.rumours)
+
     @property
     def me(self) -> Record:
         """What we say of ourselves."""
@@ -466,7 +465,7 @@
 
     def _gossip(self, now: datetime) -> None:
         self._gossiping = False
-        if not len(self._spread) and not len(self.rumours):
+        if not self.news:
             return
         names = self.view.there.draw(self._chance, self.timing.fanout)
         if len(self._spread):
--- a/reedmount/operate.py
+++ b/reedmount/operate.py
@@ -188,6 +188,10 @@
     peers = Peers(loop, config.members)
     log(f"member {config.members.name} of {config.members.group} at {text_of(peers.address)}")
     node.on_end(peers.leave)
+    if config.members.srv is not None:
+        from reedmount.peers.ways import WaysIn
+
+        peers.ways = WaysIn(loop, peers, config.members.srv, random.Random(os.urandom(8)))
     return peers
 
 
--- a/reedmount/operator_file.py
+++ b/reedmount/operator_file.py
@@ -18,11 +18,7 @@
 from reedmount import interface as i
 from reedmount.config import RELEASE_MARGIN, ConfigError, address
 from reedmount.core.clock import span, span_micros
-from reedmount.dns.asking import Patience
-from reedmount.dns.cache import Bounds
-from reedmount.dns.resolver import ResolverSettings
 from reedmount.dns.update import Policy
-from reedmount.dns.watch import Retry
 from reedmount.dns.zone import TRANSPORTS
 from reedmount.fronts.sip import SipSettings
 from reedmount.net.connection import Address
@@ -32,11 +28,15 @@
 from reedmount.sip.transaction import Timers
 from reedmount.sources.host import PoolSettings
 from reedmount.sources.srv import SrvSettings
+from reedmount.sources.srv_reader import read_srv
 from reedmount.tables import Table, numeric
 
 if TYPE_CHECKING:
     from reedmount.peers.settings import PeerSettings
 
+WAY_BACK = "sip.listen6: call servers have to find their way back"
+
+
 @dataclass(frozen=True, slots=True)
 class Updates:
     """Where dynamic updates are taken, and from whom."""
@@ -108,7 +108,7 @@
         pool=_pool(pool),
         board=numeric(pool.get("board", str), f"{pool.path}.board") if pool.has("board") else None,
         fixed=tuple(_fixed(pool)),
-        srv=_srv(srv, listen6 is not None) if top.has("srv") else None,
+        srv=read_srv(srv, None if listen6 else WAY_BACK) if top.has("srv") else None,
         members=_members(members) if top.has("members") else None,
     )
     for table in (top, sip, dns_table, updates, door, module, pool, srv, members):
@@ -159,51 +159,6 @@
         yield Claim(numeric(place, f"{table.path}.servers"), text, transport=transport)
 
 
-def _srv(table: Table, ipv6_served: bool) -> SrvSettings:
-    names = table.texts("names", [])
-    if not names:
-        raise ConfigError(f"{table.path}.names is missing")
-    servers = [numeric(text, f"{table.path}.name_servers") for text in table.texts("name_servers", [])]
-    if not servers:
-        raise ConfigError(f"{table.path}.name_servers is missing")
-    ipv6 = table.get("ipv6", bool, False)
-    if ipv6 and not ipv6_served:
-        raise ConfigError(f"{table.path}.ipv6 needs sip.listen6: call servers have to find their way back")
-    bounds = Bounds(
-        floor=table.seconds("ttl_floor_s", 1.0, 0.1, 3600.0),
-        ceiling=table.seconds("ttl_ceiling_s", 300.0, 1.0, 604_800.0),
-        entries=table.amount("cache_entries", int, 8192, 16, 1_000_000),
-        memory=table.amount("cache_kib", int, 8192, 64, 1 << 20) << 10,
-    )
-    if bounds.floor > bounds.ceiling:
-        raise ConfigError(f"{table.path}.ttl_floor_s: above ttl_ceiling_s")
-    patience = Patience(
-        deadline=table.span("deadline_ms", 5000, 100, 60_000),
-        first=table.span("try_ms", 400, 10, 10_000),
-        tcp=table.span("tcp_ms", 2000, 10, 30_000),
-    )
-    retry = Retry(table.span("retry_ms", 2000, 100), table.span("retry_most_ms", 10_000, 100))
-    return SrvSettings(
-        names=tuple(_srv_name(text, table.path) for text in dict.fromkeys(names)),
-        resolver=ResolverSettings(tuple(dict.fromkeys(servers)), patience, bounds),
-        keep_for=table.seconds("stale_s", 86_400.0, 0.0, 604_800.0),
-        retry=retry,
-        ipv6=ipv6,
-    )
-
-
-def _srv_name(text: str, path: str) -> tuple[str, str]:
-    """The name, absolute and in lower case, and the transport that its second label stands for."""
-    try:
-        name = dns.name.from_text(text).to_text().lower()
-    except dns.exception.DNSException as error:
-        raise ConfigError(f"{path}.names: {text!r}: {type(error).__name__}") from None
-    labels = name.split(".")
-    if len(labels) < 3 or labels[1].lstrip("_") not in TRANSPORTS:
-        raise ConfigError(f"{path}.names: {text!r} is not of the form _sip._tcp.NAME or _sip._udp.NAME")
-    return name, labels[1].lstrip("_")
-
-
 def _classes(top: Table) -> tuple[tuple[i.CallClass, ...], tuple[tuple[str, str], ...]]:
     classes: list[i.CallClass] = []
     prefixes: list[tuple[str, str]] = []
--- a/reedmount/peers/host.py
+++ b/reedmount/peers/host.py
@@ -58,6 +58,7 @@
         self._told: list[Hear] = []
         self._of_servers: list[Callable[[Told], None]] = []
         self._number = 0  # of what was told at ``tell``: a reader sees what was lost
+        self.ways: object = None  # what looks for ways in, as long as we are there
         self._timer: Timer | None = None
         self._timer_at: datetime | None = None
         loop.watch(self._sock.fileno(), READ, self._ready)
--- a/reedmount/peers/reader.py
+++ b/reedmount/peers/reader.py
@@ -7,6 +7,7 @@
 from reedmount.members.settings import Timing
 from reedmount.members.standing import Roster
 from reedmount.peers.settings import ROSTER_MOST, WAYS_MOST, PeerSettings, identity
+from reedmount.sources.srv_reader import read_srv
 from reedmount.tables import Table, numeric
 
 
@@ -25,6 +26,10 @@
         rosters.append(_roster(table, "previous_roster", "previous_version"))
         if rosters[1].version >= rosters[0].version:
             raise ConfigError(f"{table.path}.previous_version: not below roster_version")
+    srv, names = table.table("srv"), None
+    if table.has("srv"):
+        names = read_srv(srv, None if ":" in listen[0] else f"{table.path}.listen to be one")
+    srv.done()
     guest = table.get("guest", bool, False)
     if name not in rosters[0].names and not guest:
         raise ConfigError(f"{table.path}.roster: {name!r} is not in it, and guest is not true")
@@ -40,6 +45,7 @@
             zone=table.get("zone", str, ""),
             guests=table.get("guests", bool, True),
             tell=numeric(table.get("tell", str), f"{table.path}.tell") if table.has("tell") else None,
+            srv=names,
             hearsay=table.seconds("hearsay_s", 8.0, 0.0, 60.0),
             build=identity(f"{__version__}{table.get('build', str, '')}"),
             timing=Timing(
--- a/reedmount/peers/settings.py
+++ b/reedmount/peers/settings.py
@@ -5,12 +5,16 @@
 import zlib
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from reedmount.members.record import WORD, Record, record_of
 from reedmount.members.settings import Timing
 from reedmount.members.standing import Roster
 from reedmount.net.connection import Address
 
+if TYPE_CHECKING:  # the platform's members ask no names: they are spared the resolver
+    from reedmount.sources.srv import SrvSettings
+
 WAYS_MOST = 64  # addresses to join by
 ROSTER_MOST = 2048  # members that count
 
@@ -30,6 +34,7 @@
     tell: Address | None = None  # where changes are told as JSON, a datagram each
     timing: Timing = field(default_factory=Timing)
     build: int = 0
+    srv: SrvSettings | None = None  # names whose targets are ways in as well
     hearsay: timedelta = timedelta(seconds=8)  # how long a call server is held back on others' word; 0: never
 
     def me(self, life: int) -> Record:
--- a/reedmount/sources/host.py
+++ b/reedmount/sources/host.py
@@ -69,6 +69,11 @@
 
     # --- from the sources ---
 
+    @property
+    def going_on_with(self) -> str:
+        """What there is, for a line to the staff."""
+        return f"{len(self.bands.members)} call servers"
+
     def whole(
         self,
         source: str,
--- a/reedmount/sources/srv.py
+++ b/reedmount/sources/srv.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Generator, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import Protocol
 
 from reedmount.core.actors import Timer
 from reedmount.core.checks import COUNTERS, log
@@ -15,7 +16,7 @@
 from reedmount.dns.resolver import BETWEEN_SLICES, Resolver, ResolverSettings
 from reedmount.dns.watch import Heard, Retry, Watch
 from reedmount.net.loop import Loop
-from reedmount.sources.host import PoolHost
+from reedmount.pool.words import Claim
 
 NAME = "srv"
 ASKED_A_TURN = 64
@@ -32,10 +33,34 @@
     ipv6: bool = False
 
 
+class Hears(Protocol):
+    """Who is told what the names say: the pool of call servers, or whoever looks for members."""
+
+    @property
+    def going_on_with(self) -> str:
+        """What there is while the names cannot be learnt, for a line to the staff."""
+
+    def whole(
+        self,
+        source: str,
+        claims: Sequence[Claim],
+        part: str = "",
+        fresh_for: timedelta | None = None,
+        keep_for: timedelta | None = None,
+    ) -> None:
+        """All that a name says."""
+
+    def failed(self, source: str, why: str, part: str = "") -> None:
+        """A name could not be learnt."""
+
+    def drop(self, source: str, part: str = "") -> None:
+        """A name is not asked for any more."""
+
+
 class SrvSource:
     """One watch a name; each is a part of the source."""
 
-    def __init__(self, loop: Loop, host: PoolHost, settings: SrvSettings, chance: random.Random) -> None:
+    def __init__(self, loop: Loop, host: Hears, settings: SrvSettings, chance: random.Random) -> None:
         self._loop, self._host, self.settings, self._chance = loop, host, settings, chance
         self.resolver = Resolver(loop, settings.resolver, chance)
         self._watches: dict[str, Watch] = {}
@@ -116,8 +141,7 @@
             self._host.failed(NAME, failed.why, watch.name)
             if watch.name not in self._silent:
                 self._silent.add(watch.name)
-                serving = len(self._host.bands.members)
-                log(f"{watch.name}: {failed.why}; going on with {serving} call servers", "srv.silent")
+                log(f"{watch.name}: {failed.why}; going on with {self._host.going_on_with}", "srv.silent")
             self._again(watch)
             return
         if watch.name in self._silent:
--- a/standins/faults/cases.py
+++ b/standins/faults/cases.py
@@ -345,3 +345,27 @@
     late = [after for after in sent if after > 0.5]
     assert not late, f"{len(late)} calls to a server that another had seen leave, the last after {late[-1]} s"
     return {"calls after it was taken out at one": len(sent), "the last, s": max(sent, default=0.0)} | figures
+
+
+@case
+def by_name(folder: Path, seed: int) -> Figures:
+    """Members that know an SRV name alone: its server is dead while all start, comes up, and dies again."""
+    with Rig(folder, 8, seed, by_name=True) as rig:
+        names = rig.names_at
+        assert names is not None
+        names.kill()
+        rig.start()
+        assert not rig.until(lambda: any(rig.views.values()), 6), "somebody was met without a way in"
+        at = rig.history.now_s
+        names.revive()
+        assert rig.until(rig.agreed, 20), f"no group {rig.history.now_s - at} s after the name server came up"
+        met = rig.history.now_s - at
+        assert rig.until(lambda: set(rig.standing.values()) == {"majority"}, HEALED_S)
+        names.kill()
+        rig.kill("n3")
+        rig.run(0.5)
+        rig.start(["n3"])
+        again = _one_view(rig, HEALED_S)
+        rig.run(5)
+        assert rig.agreed(), "a name that cannot be learnt changed something"
+        return {"met after, s": round(met, 2), "one view after a restart without it, s": again} | _finish(rig)
--- a/standins/faults/rig.py
+++ b/standins/faults/rig.py
@@ -27,6 +27,7 @@
 from standins.faults.history import History
 from standins.faults.net import Net
 from standins.faults.process import Process
+from standins.nameserver import NameServer
 
 PROXY, SERVER = 100, 200  # the last numbers of addresses: proxies, call servers; members have their own
 READY_S = 20.0
@@ -63,6 +64,12 @@
 give_up_ms = 4000
 """
 
+NAMED = """
+[members.srv]
+names = ["_members._udp.calls.example."]
+name_servers = ["{at}"]
+"""
+
 
 def _quoted(texts: Iterable[str]) -> str:
     return ", ".join(f'"{text}"' for text in texts)
@@ -73,8 +80,17 @@
     that several rigs run beside each other."""
 
     def __init__(
-        self, folder: Path, members: int, seed: int, servers: int = 2, call_rate: float = 0.0, more: str = ""
+        self,
+        folder: Path,
+        members: int,
+        seed: int,
+        servers: int = 2,
+        call_rate: float = 0.0,
+        more: str = "",
+        by_name: bool = False,
     ) -> None:
+        """``more`` goes into each file's ``[members]``. ``by_name``: they meet by an SRV name alone, which a
+        stand-in for a name server tells them (``names``)."""
         assert 1 <= members <= 64
         pid = os.getpid()
         self._net = f"127.{1 + (pid >> 8) % 250}.{pid & 255}"
@@ -99,11 +115,20 @@
         self._last: dict[str, int] = {}
         self.untold = 0
         self._ends = time.monotonic() + LONGEST_S
+        self.names_at = NameServer((self._host(98), 0)) if by_name else None
+        if self.names_at is not None:
+            more += NAMED.format(at=text_of(self.names_at.address))
+            for name, proxy in proxies.items():
+                self.names_at.host(name, proxy[0], ttl=1)
+            self.names_at.srv(
+                "_members._udp", *((0, 1, proxy[1], name) for name, proxy in proxies.items()), ttl=1
+            )
+        ways = [] if by_name else [text_of(way) for way in proxies.values()]
         self._keys = {
             name: {
                 "name": name, "host": own[name][0], "members": members, "group": f"rig-{pid}", "more": more,
                 "advertise": text_of(proxies[name]), "roster": _quoted(self.names),
-                "tell": text_of(self._told_at), "ways_in": _quoted(text_of(way) for way in proxies.values()),
+                "tell": text_of(self._told_at), "ways_in": _quoted(ways),
             }
             for name in self.names
         }  # fmt: skip
@@ -113,7 +138,9 @@
             for number, name in enumerate(self.names)
             if call_rate
         }
-        self._stands: list[CallServer | Callers] = [*self.servers, *self.callers.values()]
+        self._stands: list[CallServer | Callers | NameServer] = [*self.servers, *self.callers.values()]
+        if self.names_at is not None:
+            self._stands.append(self.names_at)
 
     def _host(self, number: int) -> str:
         return f"{self._net}.{number}"
@@ -135,6 +162,8 @@
             process.close()
         self.net.close()
         self._tell.close()
+        if self.names_at is not None:
+            self.names_at.kill()
         for server in self.servers:
             server.close()
         self.history.close()
--- a/standins/gossip/net.py
+++ b/standins/gossip/net.py
@@ -16,8 +16,10 @@
 from reedmount.members.settings import Timing
 from reedmount.members.standing import Roster, Standing
 from reedmount.members.view import Change
+from reedmount.members.wire import Kind, Message, group_of, write
 from reedmount.net.connection import Address
 
+GROUP = "fleet"
 START = EPOCH + timedelta(days=20_000)
 Span = tuple[float, float]
 
@@ -91,10 +93,23 @@
             me = record_of(name, node.address, self.rng.getrandbits(32))
             ways_in = tuple(other.address for other in self.nodes.values() if other.name not in self.guests)
             node.protocol = Protocol(
-                self.timing, "fleet", me, rosters or (self.roster,), ways_in, self.rng.getrandbits(32)
+                self.timing, GROUP, me, rosters or (self.roster,), ways_in, self.rng.getrandbits(32)
             )
             self.carry_out(node, node.protocol.start(self.clock(node)))
 
+    def acquaint(self) -> None:
+        """All that were just started know all others, as after a long quiet time; from the answers to a JOIN,
+        of which none would be long enough to say all at once."""
+        nodes = [node for node in self.nodes.values() if node.protocol is not None]
+        for place, teller in enumerate(nodes):
+            records = [node.protocol.me for node in nodes if node.protocol is not None]
+            node = nodes[place - 1]
+            while records and teller.protocol is not None and node.protocol is not None:
+                page = Message(Kind.STATE, 0, teller.protocol.me, bytes(8))
+                data, sent = write(group_of(GROUP), page, records)
+                records = records[sent:]
+                self.carry_out(node, node.protocol.heard(self.clock(node), teller.address, data))
+
     def add(self, name: str, address: Address) -> Node:
         """One that no roster names."""
         node = self.nodes[name] = self._by_address[address] = Node(name, address)
@@ -235,6 +250,10 @@
             {record.name for record in table.view if record.there} == names for table in tables[:1]
         )
 
+    def busy(self) -> int:
+        """How much all of them have still to pass on."""
+        return sum(node.protocol.news for node in self.running() if node.protocol is not None)
+
     def standings(self, names: Iterable[str] | None = None) -> set[Standing]:
         """The standings of these, or of all that run."""
         wanted = set(self.nodes) if names is None else set(names)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -56,6 +56,9 @@
         ('roster = ["n1", "n2", "n3"]', 'roster = ["n1", "n1"]', "members.roster: a name stands twice"),
         ("interval_ms = 500", "interval_ms = 5", "members.interval_ms"),
         ("timeout_ms = 150", "timeout_ms = 400", "members.timeout"),
+        ("hearsay_s = 8.0", "hearsay_s = 61.0", "members.hearsay_s"),
+        ("[[class]]", '[members.srv]\nnames = ["a."]\nname_servers = ["127.0.0.1:53"]\n[[class]]', "srv.names"),
+        ("[[class]]", '[members.srv]\nnames = ["_m._udp.a."]\n[[class]]', "members.srv.name_servers is miss"),
         ("relays = 3", "relays = 3\nrelay = 4", "members.relay is not known"),
         ('zone = ""', 'zone = "a zone with too long a name"', "members"),
         ("# previous_roster", 'previous_version = 2\nprevious_roster = ["n1"] #', "members.previous_version"),
@@ -66,6 +69,15 @@
         members(tmp_path, old, new)
 
 
+def test_ways_in_may_come_from_names(tmp_path: Path) -> None:
+    table = '[members.srv]\nnames = ["_members._udp.Calls.example"]\nname_servers = ["127.0.0.1:53"]\n'
+    found = members(tmp_path, "[[class]]", f"{table}[[class]]").srv
+    assert found is not None and found.names == (("_members._udp.calls.example.", "udp"),)
+    wants = table + "ipv6 = true\n[[class]]"
+    with pytest.raises(ConfigError, match="members.srv.ipv6 needs members.listen"):
+        members(tmp_path, "[[class]]", wants)
+
+
 def test_the_platform_s_peers_are_members_by_their_numbers(tmp_path: Path) -> None:
     """Where the settings allow talk; heard from an address in ``peers``, not from ``peer_listen``."""
     peers = [f"10.3.0.{number}:7946" for number in range(1, 200)]
