--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,6 +21,7 @@
 from standins.world import World
 from tests.test_config import ROOT
 
+SRV = "[members.srv]\n"
 FILE = (ROOT / "deploy" / "members.toml").read_text()
 
 
@@ -57,8 +58,8 @@
         ("interval_ms = 500", "interval_ms = 5", "members.interval_ms"),
         ("timeout_ms = 150", "timeout_ms = 400", "members.timeout"),
         ("hearsay_s = 8.0", "hearsay_s = 61.0", "members.hearsay_s"),
-        ("[[class]]", '[members.srv]\nnames = ["a."]\nname_servers = ["127.0.0.1:53"]\n[[class]]', "srv.names"),
-        ("[[class]]", '[members.srv]\nnames = ["_m._udp.a."]\n[[class]]', "members.srv.name_servers is miss"),
+        ("[[class]]", f'{SRV}names = ["a."]\nname_servers = ["127.0.0.1:53"]\n[[class]]', "members.srv.names"),
+        ("[[class]]", f'{SRV}names = ["_m._udp.a."]\n[[class]]', "members.srv.name_servers is miss"),
         ("relays = 3", "relays = 3\nrelay = 4", "members.relay is not known"),
         ('zone = ""', 'zone = "a zone with too long a name"', "members"),
         ("# previous_roster", 'previous_version = 2\nprevious_roster = ["n1"] #', "members.previous_version"),
