--- /dev/null
+++ b/reedmount/store/__init__.py
@@ -0,0 +1,1 @@
+"""What a member keeps on its disk: a log of records that knows which of them are sound."""
