--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -78,10 +78,14 @@
         on_data: Callable[[Connection], None],
         on_end: Callable[[Connection, End], None],
         on_sent: Callable[[Connection], None] = lambda _: None,
+        source: str | None = None,
     ) -> Connection:
-        """Connect; ``on_sent`` tells that it is up. A time-out and a refusal are told apart in ``on_end``."""
+        """Connect; ``on_sent`` tells that it is up. A time-out and a refusal are told apart in ``on_end``.
+        ``source``: the address of ours that the peer sees; OSError where it is none."""
         sock = socket.socket(family_of(address), socket.SOCK_STREAM)
         sock.setblocking(False)
+        if source is not None:
+            sock.bind((source, 0))
         code = sock.connect_ex(address)
         made = cls(loop, sock, on_data, on_end, on_sent)
         made.up = False
--- a/reedmount/replicas/holder.py
+++ b/reedmount/replicas/holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from reedmount.core.checks import COUNTERS
@@ -40,6 +41,7 @@
         self.copies: dict[ShardId, Copy] = {}
         self.keep: list[Kept] = []  # for the disk, in order; the owner of this takes it
         self.gone: list[ShardId] = []  # closed, for the disk to forget
+        self.pruned: list[tuple[ShardId, list[str]]] = []  # calls of which nothing is kept any more
         self._owed: dict[ShardId, str] = {}  # who is answered once it is kept
 
     def append(self, sender: str, message: Append) -> list[Send]:
@@ -52,7 +54,9 @@
             news = [entry for entry in message.entries if entry.seq > copy.seq]
             for entry in news:
                 copy.add(entry)
-            copy.prune(message.settled)
+            pruned = copy.prune(message.settled)
+            if pruned:
+                self.pruned.append((message.shard, pruned))
             if news:
                 self._keep(sender, copy, news)
                 return []
@@ -88,6 +92,11 @@
             del self._owed[shard]
         return [self._ack(sender, copy, True)]
 
+    def restore(self, shard: ShardId, term: Term, entries: Iterable[Entry]) -> None:
+        """What a disk brought back."""
+        copy = self.copies[shard] = Copy(shard, term, complete=False)
+        copy.merge(entries)
+
     def prepare(self, sender: str, message: Prepare) -> list[Send]:
         """Somebody wants to act for an owner: promise, and tell what is here."""
         copy, refusal = self._copy(sender, message.shard, message.term)
--- a/reedmount/replicas/replicas.py
+++ b/reedmount/replicas/replicas.py
@@ -59,7 +59,15 @@
     shard: ShardId
 
 
-Output = Send | Durable | Kept | TakenOver | Fenced | Forget
+@dataclass(frozen=True, slots=True)
+class Pruned:
+    """These calls are dropped everywhere, for the disk."""
+
+    shard: ShardId
+    keys: tuple[str, ...]
+
+
+Output = Send | Durable | Kept | TakenOver | Fenced | Forget | Pruned
 
 
 class Replicas:
@@ -155,6 +163,12 @@
                 if won is not None:
                     self._won(now, won)
 
+    def restore(self, shard: ShardId, term: Term, entries: Collection[Entry]) -> None:
+        """What the disk had of another's shard, before anything was heard: it goes to whoever acts for its
+        owner, and is never taken for complete. ``term``: the highest that the disk knows of."""
+        if shard.owner != self._me:
+            self._holder.restore(shard, term, entries)
+
     def tick(self, now: datetime, sight: Sight) -> None:
         """Some time has passed, 100 ms or so, or the view has changed."""
         for owner in self._owners.values():
@@ -175,8 +189,9 @@
             self._owners.pop(shard, None)
         self._closed.clear()
         self._out += self._holder.keep
+        self._out += [Pruned(shard, tuple(keys)) for shard, keys in self._holder.pruned]
         self._out += [Forget(shard) for shard in self._holder.gone]
-        self._holder.keep, self._holder.gone = [], []
+        self._holder.keep, self._holder.gone, self._holder.pruned = [], [], []
         out, self._out = self._out, []
         return out
 
@@ -205,7 +220,9 @@
         self._out += owner.taken()
         if owner.shard in self._finishing and owner.durable >= owner.copy.seq:
             self._finish(owner.shard)
-        owner.copy.prune(owner.settled)
+        pruned = owner.copy.prune(owner.settled)
+        if pruned:
+            self._out.append(Pruned(owner.shard, tuple(pruned)))
         if owner is not self._own and not len(owner.copy) and owner.shard not in self._finishing:
             self._out += owner.close()
             self._out.append(Forget(owner.shard))
--- a/reedmount/replicas/words.py
+++ b/reedmount/replicas/words.py
@@ -20,11 +20,12 @@
 
 KEY_MOST = 120  # bytes of a call's name
 DATA_MOST = 16_384  # of what is kept of a call
-ENTRIES_MOST = 256  # in one message
-FRAME_MOST = 1 << 18  # bytes of a message
-BODY = 1 << 16  # of entries, after which the next message begins
+ENTRIES_MOST = 128  # in one message
+FRAME_MOST = 32_000  # bytes of a message: a connection reads no more at once
+BODY = 12_288  # of entries, after which the next message begins
 FRAME = struct.Struct(">II")
 SEQ_MOST = 2**53
+ENTRY_HEAD = KEY_MOST + 2 * NAME_MOST + 40  # bytes at most beside its data
 
 Name = Annotated[str, Meta(min_length=1, max_length=NAME_MOST)]
 Seq = Annotated[int, Meta(ge=0, le=SEQ_MOST)]
@@ -191,7 +192,7 @@
     made: list[list[Entry]] = [[]]
     size = 0
     for entry in entries:
-        length = len(entry.data) + KEY_MOST
+        length = len(entry.data) + ENTRY_HEAD
         if made[-1] and (size + length > BODY or len(made[-1]) == ENTRIES_MOST):
             made.append([])
             size = 0
--- a/tests/test_seat.py
+++ b/tests/test_seat.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import socket
 import time
 from collections.abc import Callable
 from datetime import timedelta
@@ -24,18 +23,15 @@
 from tests.scenario import HOST
 from tests.test_board import notice
 from tests.test_config import SETTINGS, platform
-from tests.test_start import line, started
+from tests.test_start import free_port, line, started
 
 
 def _places(count: int) -> list[Address]:
     """Addresses of which nobody has one now."""
-    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    places = [sock.getsockname() for sock in socks]
-    for sock in socks:
-        sock.close()
-    return places
+    ports: set[int] = set()
+    while len(ports) < count:
+        ports.add(free_port(HOST))
+    return [(HOST, port) for port in ports]
 
 
 def _lives(seen: list[str]) -> Callable[[Change | Stood], None]:
