Pace a copy that is brought up to date, and spare the collector its entries

Seen: a holder that came back empty had its copy of 10,000 records after 0.8 s with a turn of 115 ms, which calls would wait for. Measured, three members in one process: 10,000 records 0.80 s, longest turn 115 -> 3 ms; 200,000 in 3.0 s, 25 ms.

--- a/reedmount/peers/copies.py
+++ b/reedmount/peers/copies.py
@@ -240,20 +240,26 @@
     # --- the disk ---
 
     def _keep(self, kept: Kept) -> None:
-        now = self._loop.clock.now()
         if self._store is None or self._writer is None:
-            self.replicas.kept(now, kept.shard, kept.seq)
+            if kept.seq is not None:
+                self.replicas.kept(self._loop.clock.now(), kept.shard, kept.seq)
             return
-        number: int | None = 0
+        number: int | None = self._store.newest
         for entry in kept.entries:
             number = self._store.put(_key(kept.shard, entry.key), msgspec.msgpack.encode(entry))
         if number is None:
             COUNTERS.add("replicas.not_kept")  # the disk has failed for long: others have to carry it
-        elif number:
+            return
+        if kept.seq is not None:
             self._at_disk.append((number, kept.shard, kept.seq))
+        if kept.entries:
             self._writer.kick()
-        else:
-            self.replicas.kept(now, kept.shard, kept.seq)
+        else:  # what it waits for may be there already
+            self._loop.soon(lambda: self._on_disk(self._log_durable))
+
+    @property
+    def _log_durable(self) -> int:
+        return self._store.durable if self._store is not None else 0
 
     def _on_disk(self, durable: int) -> None:
         now = self._loop.clock.now()
--- a/reedmount/replicas/holder.py
+++ b/reedmount/replicas/holder.py
@@ -27,10 +27,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """Words for the disk; ``seq`` is where the copy stands with them."""
+    """Words for the disk; ``seq`` is where the copy stands with them, None where more has to come first."""
 
     shard: ShardId
-    seq: int
+    seq: int | None
     entries: list[Entry]
 
 
@@ -67,12 +67,17 @@
         copy, refusal = self._copy(sender, message.shard, message.term)
         if copy is None:
             return refusal
-        follows = copy.page(message.page, message.term, message.upto, message.entries)
-        if not follows or not message.last:
+        if not copy.page(message.page, message.term, message.upto, message.entries):
             return [self._ack(sender, copy, False)]
-        copy.whole()
+        if not message.last:
+            # Each page goes to the disk as it comes: all of them at once would keep calls waiting.
+            self.keep.append(Kept(copy.shard, None, message.entries))
+            return [self._ack(sender, copy, False)]
+        gone = copy.whole()
+        if gone:
+            self.pruned.append((copy.shard, gone))
         copy.kept = 0
-        self._keep(sender, copy, list(copy))
+        self._keep(sender, copy, message.entries)
         return []
 
     def _keep(self, sender: str, copy: Copy, entries: list[Entry]) -> None:
--- a/reedmount/replicas/owner.py
+++ b/reedmount/replicas/owner.py
@@ -7,12 +7,23 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from reedmount.core.checks import COUNTERS, invariant
 from reedmount.replicas.copy import Copy
-from reedmount.replicas.words import Ack, Append, Close, Entry, Message, Phase, ShardId, Snapshot, parts
+from reedmount.replicas.words import (
+    ENTRIES_MOST,
+    Ack,
+    Append,
+    Close,
+    Entry,
+    Message,
+    Phase,
+    ShardId,
+    Snapshot,
+    parts,
+)  # fmt: skip
 
 LOG_MOST = 65_536  # steps that are kept for holders that are behind: beyond that they get a snapshot
 WINDOW = 1024  # steps on their way to one holder
@@ -36,6 +47,27 @@
     seq: int
 
 
+class Pages:
+    """A snapshot as it goes out: parted as it is sent, so that a long one costs a page at a time."""
+
+    def __init__(self, entries: list[Entry], upto: int) -> None:
+        self.upto, self.sent = upto, 0
+        self._entries, self._begins = entries, [0]  # of each page so far, and of the next one
+
+    def page(self, number: int) -> tuple[list[Entry], bool]:
+        """One of them, and whether it is the last. Each can be had again after the ones before it."""
+        begin = self._begins[number]
+        part = parts(self._entries[begin : begin + ENTRIES_MOST])[0]
+        if len(self._begins) == number + 1:
+            self._begins.append(begin + len(part))
+        return part, begin + len(part) >= len(self._entries)
+
+    @property
+    def over(self) -> bool:
+        """Whether all of it was sent."""
+        return self.sent > 0 and self._begins[self.sent] >= len(self._entries)
+
+
 @dataclass(slots=True)
 class Peer:
     """One holder, as the owner knows it."""
@@ -44,9 +76,7 @@
     sent: int = 0
     complete: bool = False  # its copy counts
     asked: bool = False  # where it is; nothing is sent before it has answered
-    pages: list[list[Entry]] = field(default_factory=list)  # of a snapshot that is under way
-    upto: int = 0  # of that
-    pages_sent: int = 0
+    snapshot: Pages | None = None  # that is under way
     heard_at: datetime | None = None
 
 
@@ -125,7 +155,7 @@
             return
         if peer.asked or not peer.complete:
             peer.sent = ack.seq
-        peer.asked, peer.complete, peer.pages = False, True, []
+        peer.asked, peer.complete, peer.snapshot = False, True, None
         peer.acked = max(peer.acked, ack.seq)
         self._count()
         self._tell(name, peer)
@@ -176,27 +206,28 @@
 
     def _lacks(self, name: str, peer: Peer, ack: Ack) -> None:
         """It has nothing to go on from: a snapshot, or the next pages of the one that is under way."""
-        if peer.pages and ack.pages and ack.seq == peer.upto and not peer.complete:
+        snapshot = peer.snapshot
+        if snapshot is not None and 0 < ack.pages <= snapshot.sent and ack.seq == snapshot.upto:
             if peer.asked:
-                peer.pages_sent = ack.pages  # what was on its way when the link broke is lost
+                snapshot.sent = ack.pages  # what was on its way when the link broke is lost
             peer.asked = False
-            self._next_pages(name, peer, ack.pages)
+            self._next_pages(name, snapshot, ack.pages)
         elif peer.asked or peer.complete:
             self._snapshot(name, peer)
 
     def _snapshot(self, name: str, peer: Peer) -> None:
         COUNTERS.add("replicas.snapshots")
-        peer.pages, peer.upto, peer.pages_sent = parts(list(self.copy)), self.copy.seq, 0
+        peer.snapshot = Pages(list(self.copy), self.copy.seq)
         peer.asked, peer.complete, peer.sent, peer.acked = False, False, self.copy.seq, 0
-        self._next_pages(name, peer, 0)
+        self._next_pages(name, peer.snapshot, 0)
 
-    def _next_pages(self, name: str, peer: Peer, got: int) -> None:
-        while peer.pages_sent < min(len(peer.pages), got + PAGES):
-            number, last = peer.pages_sent, peer.pages_sent == len(peer.pages) - 1
-            page = Snapshot(self.shard, self.copy.term, peer.upto, number, last, peer.pages[number])
+    def _next_pages(self, name: str, snapshot: Pages, got: int) -> None:
+        while snapshot.sent < got + PAGES and not snapshot.over:
+            entries, last = snapshot.page(snapshot.sent)
+            page = Snapshot(self.shard, self.copy.term, snapshot.upto, snapshot.sent, last, entries)
             self._out.append(Send(name, page))
-            peer.pages_sent += 1
-        self._offered = max(self._offered, peer.upto)
+            snapshot.sent += 1
+        self._offered = max(self._offered, snapshot.upto)
 
     def _count(self) -> None:
         """f others and ourselves have it, or f + 1 others where our own copy is not what it should be."""
--- a/reedmount/replicas/words.py
+++ b/reedmount/replicas/words.py
@@ -40,7 +40,7 @@
     DROPPED = 3  # exported: nothing is kept any more
 
 
-class ShardId(msgspec.Struct, frozen=True, array_like=True, order=True):
+class ShardId(msgspec.Struct, frozen=True, array_like=True, order=True, gc=False):
     """What one life of a member holds. A new epoch begins where somebody else has taken the one before."""
 
     owner: Name
@@ -48,7 +48,7 @@
     epoch: Annotated[int, Meta(ge=0, le=2**31)] = 0
 
 
-class Term(msgspec.Struct, frozen=True, array_like=True, order=True):
+class Term(msgspec.Struct, frozen=True, array_like=True, order=True, gc=False):
     """Who may write to a shard: the greater one. The owner's is the first, by birth. A term is of one life:
     what a process promised itself dies with it."""
 
@@ -57,8 +57,9 @@
     life: Word
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One step of one call. ``seq`` counts the steps of its shard without gaps."""
+class Entry(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One step of one call. ``seq`` counts the steps of its shard without gaps. Many are kept, and none in a
+    ring: the collector, which would stop the calls for it, is spared them."""
 
     seq: Seq
     key: Annotated[str, Meta(min_length=1, max_length=KEY_MOST)]
--- a/reedmount/store/log.py
+++ b/reedmount/store/log.py
@@ -11,7 +11,8 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
-from typing import NamedTuple
+
+import msgspec
 
 from reedmount.core.checks import COUNTERS, invariant
 from reedmount.store.disk import Disk
@@ -45,8 +46,8 @@
     """A record lies there and is not what was written. It is not served; copies may have it."""
 
 
-class Place(NamedTuple):
-    """Where a record lies; ``segment`` is the serial number of its file."""
+class Place(msgspec.Struct, frozen=True, gc=False):
+    """Where a record lies; ``segment`` is the serial of its file. The collector is spared one a key."""
 
     number: int
     segment: int
@@ -205,6 +206,11 @@
 
     # --- what holds ---
 
+    @property
+    def newest(self) -> int:
+        """The number of the last record, on the disk or not."""
+        return self._number - 1
+
     def __len__(self) -> int:
         """How many keys there are."""
         return len(self._index) + sum(key not in self._index for key in self._fresh)
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -170,7 +170,7 @@
             match output:
                 case Send(to, message):
                     self._send(name, to, message)
-                case Kept(shard, seq, _):
+                case Kept(shard, seq, _) if seq is not None:
                     self._write(name, shard, seq)
                 case Durable(shard, seq):
                     self._durable(name, shard, seq)
