Let nobody wait for a shard that another member has taken

Need: of steps that wait, those in a shard that was taken stood before all others for up to 0.1 s, and made these unpromised too. Change: a queue a shard; the one of a shard that is taken is told at once.

--- a/reedmount/peers/copies.py
+++ b/reedmount/peers/copies.py
@@ -54,7 +54,6 @@
 class _Waiting:
     """Somebody waits until a step is durable."""
 
-    shard: ShardId
     seq: int
     then: Callable[[bool], None]
     timer: Timer
@@ -84,7 +83,7 @@
         self._store = store
         self._writer = None if writer is None else writer(self._on_disk, self._trouble)
         self._at_disk: deque[tuple[int, ShardId, int]] = deque()  # store's number, then what is kept with it
-        self._waiting: deque[_Waiting] = deque()
+        self._waiting: dict[ShardId, deque[_Waiting]] = {}  # in the order of their steps
         self._flushing = self._closed = False
         self._trusted = True  # whether the disk takes what is written
         if store is not None:
@@ -185,8 +184,8 @@
                         self.mesh.send(to, message)
                     case Kept():
                         self._keep(output)
-                    case Durable():
-                        self._look_who_waits()
+                    case Durable(shard, seq):
+                        self._look_who_waits(shard, seq)
                     case TakenOver():
                         self._taken_over(output)
                     case Fenced():
@@ -207,6 +206,7 @@
 
     def _fenced(self, fenced: Fenced) -> None:
         log(f"another member has taken {_text(fenced.shard)}", "copies.fenced")
+        self._nobody_keeps(fenced.shard)
         if self.user is None or fenced.shard.owner != self.replicas.shard.owner:
             return
         for entry in fenced.theirs:
@@ -218,24 +218,35 @@
 
     def _wait_for(self, shard: ShardId, seq: int, then: Callable[[bool], None]) -> None:
         def too_late() -> None:
-            COUNTERS.add("replicas.unpromised")
-            self._waiting.remove(waiting)
-            then(False)
+            queue = self._waiting.get(shard)
+            if queue is not None and waiting in queue:
+                queue.remove(waiting)
+                self._not_promised(waiting)
 
-        waiting = _Waiting(shard, seq, then, self._loop.after(self._wait, too_late))
-        self._waiting.append(waiting)
+        waiting = _Waiting(seq, then, self._loop.after(self._wait, too_late))
+        self._waiting.setdefault(shard, deque()).append(waiting)
 
-    def _look_who_waits(self) -> None:
+    def _look_who_waits(self, shard: ShardId, durable: int) -> None:
         """Steps of one shard become durable in their order, so that the first that is not ends the look."""
-        while self._waiting:
-            first = self._waiting[0]
-            owner = self.replicas.owners.get(first.shard)
-            if owner is None or not 0 < first.seq <= owner.durable:
-                return
-            self._waiting.popleft()
+        queue = self._waiting.get(shard)
+        while queue and 0 < queue[0].seq <= durable:
+            first = queue.popleft()
             first.timer.cancel()
             COUNTERS.add("replicas.promised")
             first.then(True)
+        if not queue:
+            self._waiting.pop(shard, None)
+
+    def _nobody_keeps(self, shard: ShardId) -> None:
+        """Somebody else has it: what was waited for there is not promised by us."""
+        for waiting in self._waiting.pop(shard, ()):
+            waiting.timer.cancel()
+            self._not_promised(waiting)
+
+    @staticmethod
+    def _not_promised(waiting: _Waiting) -> None:
+        COUNTERS.add("replicas.unpromised")
+        waiting.then(False)
 
     # --- the disk ---
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -13,7 +13,7 @@
 from reedmount.core.checks import COUNTERS
 from reedmount.peers.copies import CopiesHost
 from reedmount.peers.host import Peers
-from reedmount.replicas.words import Entry, Phase
+from reedmount.replicas.words import Entry, Old, Phase, Term
 from reedmount.store.faulty import Faults, FaultyDisk, disk_of
 from reedmount.store.log import Log
 from reedmount.store.writer import Writer
@@ -175,3 +175,17 @@
     others = [fleet.calls["n2"], fleet.calls["n3"]]
     assert fleet.until(lambda: sum(len(calls.released) for calls in others) >= 5, 20 * S)
     assert {key for calls in others for key in calls.released} == {f"c{n}" for n in range(5)}
+
+
+def test_what_waits_where_another_has_taken_over_is_not_promised_and_holds_up_nothing(
+    fleet: Fleet,
+) -> None:
+    host = fleet.hosts["n1"]
+    waits: list[bool] = []
+    host.hold("old", Phase.STANDS, b"", waits.append)
+    host.replicas.heard(fleet.world.now, "n2", Old(host.replicas.shard, Term(2, "n2", 1)))
+    host._carry_out()
+    assert waits == [False] and host.replicas.shard.epoch == 1
+    assert fleet.calls["n1"].gone + fleet.calls["n1"].anew == ["old"]
+    heard = fleet.hold("n1", "new", Phase.STANDS)
+    assert fleet.until(lambda: bool(heard), S) and heard == [True]
