--- a/reedmount/core/ports.py
+++ b/reedmount/core/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import Enum
@@ -54,6 +55,24 @@
         """A call that stood is over."""
 
 
+class Keeper(Protocol):
+    """Who keeps what was promised of calls. Where there is none, nothing is, and nothing waits for it."""
+
+    def taken(self, offer: Offer, at: datetime) -> None:
+        """A call has come."""
+
+    def final(
+        self, name: str, outcome: str, attempts: int, server: str, answer: Callable[[], None]
+    ) -> None:
+        """It is refused or has failed; ``answer`` tells its caller."""
+
+    def ended(self, name: str, how: str) -> None:
+        """A call that stood has come to its end."""
+
+    def dropped(self, name: str, attempts: int, server: str) -> None:
+        """It is forgotten, whatever was said of it before."""
+
+
 @dataclass(frozen=True, slots=True)
 class Setup:
     """One attempt, as the server side is to send it."""
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -12,7 +12,7 @@
 from reedmount.core.checks import COUNTERS, invariant, log
 from reedmount.core.clock import ZERO, Clock, micros, span, span_micros
 from reedmount.core.lifecycle import Lifecycle, Need
-from reedmount.core.ports import CUT, NORMAL, Caller, Listed, Offer, Progress, Servers, Setup
+from reedmount.core.ports import CUT, NORMAL, Caller, Keeper, Listed, Offer, Progress, Servers, Setup
 
 NO_REPORT = i.LoadReport()
 REMEMBERED = 4096  # names of calls that are over
@@ -54,6 +54,7 @@
         self._over: dict[str, None] = {}  # names that are over: a server repeats its releases
         self._unsent: dict[int, datetime] = {}  # calls of which no attempt went out yet, oldest first
         self._reports: dict[str, i.LoadReport] = {}  # of this turn
+        self.keeper: Keeper | None = None
         self.on_attempt: Callable[[str, i.Outcome | None], None] | None = None  # None: it was sent
 
     def attach(self, servers: Servers) -> None:
@@ -120,6 +121,8 @@
         self._next += 1
         self._by_number[call.number] = self._by_name[offer.name] = call
         self._unsent[call.number] = call.taken_at
+        if self.keeper is not None:
+            self.keeper.taken(offer, call.taken_at)
         self._inbox.post(
             i.NewCall(
                 call=call.number,
@@ -236,6 +239,15 @@
                 call.caller.released(call.offer.name, CUT)
                 self._end_standing(call, i.Outcome.RESET, NO_REPORT)
 
+    def cut(self, name: str) -> None:
+        """A call that stands is ended towards both sides, whatever else did so: another has it now."""
+        call = self._by_name.get(name)
+        if call is not None and call.standing:
+            COUNTERS.add("released.taken_over")
+            call.caller.released(name, CUT)
+            self._side.release(call.server, name, CUT)
+            self._end_standing(call, i.Outcome.RESET, NO_REPORT)
+
     def reported(self, server: str, report: i.LoadReport) -> None:
         """A server told of its free lines unasked; those that tell in one turn go to the module as one."""
         if not self._reports:
@@ -333,8 +345,11 @@
         invariant(call.out is None, "no_answer_with_an_attempt_out")
         COUNTERS.add(f"answered.{what}")
         self._look_at_the_clock(call, what)
+        if self.keeper is not None:
+            self.keeper.final(call.offer.name, what, call.attempts, call.server, lambda: answer(call))
         self._settle(call)
-        answer(call)
+        if self.keeper is None:
+            answer(call)
 
     def _look_at_the_clock(self, call: Call, what: str) -> None:
         """Count an answer past our own instant (``answered.overdue``), and one past its caller's, which is
@@ -378,6 +393,8 @@
         self._inbox.post(self._end_event(call, call.attempts - 1, call.server, outcome, cause, report))
 
     def _end_standing(self, call: Call, outcome: i.Outcome, report: i.LoadReport) -> None:
+        if self.keeper is not None:
+            self.keeper.ended(call.offer.name, outcome.value)
         self._post_end(call, outcome, i.Cause.NONE, report)
         self._drop(call)
 
@@ -399,6 +416,8 @@
             del self._leaving[name], self.classes[name]
 
     def _drop(self, call: Call) -> None:
+        if self.keeper is not None:
+            self.keeper.dropped(call.offer.name, call.attempts, call.server)
         self._remember(call.offer.name)
         self._by_number.pop(call.number, None)
         self._unsent.pop(call.number, None)
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -17,7 +17,7 @@
 from reedmount.net.connection import Address
 from reedmount.net.loop import Loop
 from reedmount.sip import dialog as dialogs
-from reedmount.sip.dialog import Dialog
+from reedmount.sip.dialog import Dialog, Side
 from reedmount.sip.endpoint import Endpoint, TcpHop
 from reedmount.sip.message import (
     Message,
@@ -69,6 +69,15 @@
         return max(fitting)[1] if fitting else self.default_class
 
 
+class Keeper(Protocol):
+    """Who keeps the dialogs of calls that stand."""
+
+    def stands(
+        self, name: str, server: str, attempts: int, sides: tuple[Side, ...], then: Callable[[], None]
+    ) -> None:
+        """A call server has answered; ``then`` goes on once that is kept, or could not be in time."""
+
+
 class FarLeg(Protocol):
     """What the front has to know of a server's leg: a BYE that comes from there finds it by its dialog."""
 
@@ -90,6 +99,13 @@
         self._answer: bytes = b""
         self._released: int | None = None
 
+    @property
+    def side(self) -> Side:
+        """Its dialog as it will be once it is answered, for whoever may have to end it."""
+        invite = self.transaction.request
+        local = response(invite, 200, tag=self.tag).need("To")
+        return Side.of(dialogs.as_callee(invite, local), self.transaction.hop.reliable)
+
     @property
     def open(self) -> bool:
         """Whether its final answer is still owed."""
@@ -125,11 +141,15 @@
 
     def refused(self, name: str, pause: timedelta) -> None:
         """503 with Retry-After, in whole seconds as SIP has it."""
+        if not self.open:
+            return  # given up while its record was being kept
         extra = [("Retry-After", str(max(1, -(-pause // SECOND))))] if pause > ZERO else []
         self._final(503, extra)
 
     def failed(self, name: str) -> None:
         """500."""
+        if not self.open:
+            return
         self._final(500, [])
 
     def released(self, name: str, cause: int) -> None:
@@ -194,6 +214,7 @@
         self._asked: dict[Asked, Leg] = {}
         self._asking: dict[ServerTransaction, Leg] = {}  # by the INVITE's transaction
         self.server_legs: dict[dialogs.Key, FarLeg] = {}
+        self.keeper: Keeper | None = None
         self._random = random.Random(seed)
         self._count = 0
         self.endpoint = Endpoint(loop, settings.listen, settings.timers, self, settings.listen6)
@@ -231,6 +252,20 @@
         reason = [("Reason", f"Q.850;cause={cause}")]
         self.endpoint.layer.send(dialog.request("BYE", self.via(hop), reason), hop, lambda _: None)
 
+    def release_for(self, side: Side, cause: int) -> None:
+        """End a leg of a border controller that is gone, from our address, with its dialog's identifiers (RFC
+        3261, section 15). Its first route or its target says where the peer is; names are not looked up."""
+        try:
+            address = host_port(side.next_hop)
+        except SipError:
+            COUNTERS.add("sip.released.untold")
+            return
+        endpoint = self.endpoint
+        hop: Hop = endpoint.udp(address)
+        if side.transport == "tcp":
+            hop = TcpHop.dial(endpoint, address, self.settings.connect_wait)
+        self.bye(side.dialog, hop, cause)
+
     # --- the User of the transactions ---
 
     def requested(self, transaction: ServerTransaction) -> None:
--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -11,7 +11,7 @@
 from reedmount.fronts.sip import ALLOW, SECOND, SipFront
 from reedmount.net.connection import End, text_of
 from reedmount.sip import dialog as dialogs
-from reedmount.sip.dialog import Dialog
+from reedmount.sip.dialog import Dialog, Side
 from reedmount.sip.endpoint import TcpHop
 from reedmount.sip.message import Message, parameter, request
 from reedmount.sip.transaction import ClientTransaction, Hop, State
@@ -45,6 +45,7 @@
         self._fork: str | None = None  # the far end of which the caller was told
         self._forks: dict[str, Dialog] = {}  # others that answered as well
         self._told = 0
+        self._held_up = False  # its answer waits until it is kept
         self.timer: Timer = peer.loop.after(setup.give_up, lambda: self.call_off(i.Outcome.TIMED_OUT))
 
     def start(self, hop: Hop) -> None:
@@ -160,10 +161,27 @@
         """Acknowledge a 200, also a repeated one; one that nobody waits for any more is released."""
         if self.transaction is None or self.hop is None or self._release_fork(message):
             return
+        if self._held_up:
+            return  # repeated before its first copy was kept
         again = self.dialog is not None
         if not again:
             self.dialog = dialogs.as_caller(self.transaction.request, message)
-        if self.dialog is None:
+            front, leg = self.peer.front, self.peer.front.names.get(self.setup.name)
+            if front.keeper is not None and leg is not None and not self.ended:
+                self._held_up = True
+                sides = (leg.side, Side.of(self.dialog, self.hop.reliable))
+                server, attempts = self.peer.entry.server, self.setup.attempt + 1
+                front.keeper.stands(self.setup.name, server, attempts, sides, lambda: self._kept(message))
+                return
+        self._acknowledge(message, again)
+
+    def _kept(self, message: Message) -> None:
+        """Its dialogs outlive us, or it is served without: not before that does either side stand."""
+        self._held_up = False
+        self._acknowledge(message, False)
+
+    def _acknowledge(self, message: Message, again: bool) -> None:
+        if self.dialog is None or self.hop is None:
             return
         if self._ack is None:
             self._ack = self.dialog.request("ACK", self.peer.front.via(self.hop))
--- a/reedmount/operate.py
+++ b/reedmount/operate.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 import dns.zone
@@ -33,10 +34,14 @@
 from reedmount.sources.srv import SrvSource
 
 if TYPE_CHECKING:
+    from reedmount.peers.copies import CopiesHost
     from reedmount.peers.host import Peers
     from reedmount.sources.hearsay import HearsayHost
+    from reedmount.store.disk import Disk
+    from reedmount.store.log import Log
+    from reedmount.store.writer import Writer
 
-POOL, MEMBERS = "/admin/pool", "/admin/members"
+POOL, MEMBERS, COPIES = "/admin/pool", "/admin/members", "/admin/copies"
 SOURCES = (BOARD, FIXED, ZONE, SRV)  # in this order where they name a server differently
 
 
@@ -144,6 +149,7 @@
     peers = _open_peers(loop, made, config)
     if peers is not None:
         peers.on_change(lambda _: made.settle(_shared(config.settings, peers)))
+    copies = _open_copies(loop, made, front, peers, config)
     hearsay = _open_hearsay(sources.host, peers, config)
     views: dict[str, View] = {POOL: lambda query: sources.host.view(_after(query))}
     if peers is not None:
@@ -151,9 +157,11 @@
             **peers.view(query), "shared_among": made.switch.settings.proxies,
             "call_servers": None if hearsay is None else hearsay.view(),
         }  # fmt: skip
+    if copies is not None:
+        views[COPIES] = lambda _: copies.view()
     made.open_door(config.control, views)
     made.where = f"SIP served at {text_of(front.endpoint.address)}, call servers from {_named(config)}"
-    made.parts = (front, sources, peers, hearsay)
+    made.parts = (front, sources, peers, hearsay, copies)
 
     def reread() -> None:
         nonlocal config
@@ -170,8 +178,8 @@
              item.updates and item.updates.listen, item.control)
             for item in (old, config)
         ]  # fmt: skip
-        if old.members != config.members:
-            log("members is taken at the next start only")
+        if (old.members, old.replicas) != (config.members, config.replicas):
+            log("members and replicas are taken at the next start only")
         if places[0] != places[1]:
             log("sip.listen, timers, dns.update.listen and door.control are taken at the next start only")
 
@@ -195,6 +203,46 @@
     return peers
 
 
+def _open_copies(
+    loop: Loop, node: Node, front: SipFront, peers: Peers | None, config: Operator
+) -> CopiesHost | None:
+    """Hold what is promised of calls for others, and others' for them, where the file says so."""
+    if peers is None or config.members is None or config.replicas is None:
+        return None
+    from reedmount.peers.copies import CopiesHost
+    from reedmount.records.keeper import Keeper
+    from reedmount.store.faulty import disk_of
+    from reedmount.store.frame import StoreError
+    from reedmount.store.log import Log
+
+    members, wanted = config.members, config.replicas
+    store: Log | None = None
+    make: Callable[[Callable[[int], None], Callable[[bool], None]], Writer] | None = None
+    if wanted.folder is not None:
+        try:
+            disk = disk_of(wanted.folder, wanted.disk_faults)
+            store = Log(disk)
+            opened = store.open()
+        except (OSError, StoreError) as error:
+            raise ConfigError(f"replicas.folder: {error}") from None
+        log(f"the store has {len(store)} records; gaps {len(opened.gaps)}, torn {opened.torn} bytes")
+        make = partial(_writer, loop, store, disk, wanted.sync)
+    copies = CopiesHost(
+        loop, peers, members.name, members.group, members.listen, wanted.faults, store, make, wanted.wait
+    )
+    Keeper(loop, node.switch, front, copies, members.name, wanted.keep_for)
+    return copies
+
+
+def _writer(
+    loop: Loop, store: Log, disk: Disk, sync: bool,
+    durable: Callable[[int], None], trouble: Callable[[bool], None],
+) -> Writer:  # fmt: skip
+    from reedmount.store.writer import Writer
+
+    return Writer(loop, store, disk, sync, durable, trouble)
+
+
 def _open_hearsay(host: PoolHost, peers: Peers | None, config: Operator) -> HearsayHost | None:
     """Tell others what our sources say of call servers; be careful with those that others saw leave."""
     if peers is None or config.members is None or not config.members.hearsay:
--- a/reedmount/operator_file.py
+++ b/reedmount/operator_file.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from reedmount.peers.settings import PeerSettings
+    from reedmount.records.settings import ReplicaSettings
 
 WAY_BACK = "sip.listen6: call servers have to find their way back"
 
@@ -62,6 +63,7 @@
     fixed: tuple[Claim, ...]
     srv: SrvSettings | None
     members: PeerSettings | None
+    replicas: ReplicaSettings | None
 
 
 def read_operator(path: Path) -> Operator:
@@ -76,6 +78,8 @@
     classes, prefixes = _classes(top)
     sip, dns_table, module = top.table("sip"), top.table("dns"), top.table("module")
     pool, srv, members = top.table("pool"), top.table("srv"), top.table("members")
+    replicas = top.table("replicas")
+    group = _members(members) if top.has("members") else None
     names = [kind.name for kind in classes]
     default = sip.get("default_class", str, names[0])
     if default not in names:
@@ -109,9 +113,10 @@
         board=numeric(pool.get("board", str), f"{pool.path}.board") if pool.has("board") else None,
         fixed=tuple(_fixed(pool)),
         srv=read_srv(srv, None if listen6 else WAY_BACK) if top.has("srv") else None,
-        members=_members(members) if top.has("members") else None,
+        members=group,
+        replicas=_replicas(replicas, path.parent, group) if top.has("replicas") else None,
     )
-    for table in (top, sip, dns_table, updates, door, module, pool, srv, members):
+    for table in (top, sip, dns_table, updates, door, module, pool, srv, members, replicas):
         table.done()
     if made.zone is None and made.board is None and not made.fixed and made.srv is None:
         raise ConfigError("no source of call servers: dns.zone, pool.board, pool.servers or srv.names")
@@ -127,6 +132,16 @@
     return read_members(table)
 
 
+def _replicas(table: Table, base: Path, group: PeerSettings | None) -> ReplicaSettings:
+    if group is None:
+        raise ConfigError(f"{table.path}: there is no [members]")
+    try:
+        from reedmount.records.settings import read_replicas
+    except ImportError as error:
+        raise ConfigError(f"{table.path}: needs what requirements-fleet.txt names: {error}") from None
+    return read_replicas(table, base, len(group.rosters[0].names))
+
+
 def _pool(table: Table) -> PoolSettings:
     try:
         past = Past(table.get("past_bound", str, Past.DRAIN.value))
--- a/reedmount/peers/copies.py
+++ b/reedmount/peers/copies.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
@@ -40,9 +40,12 @@
 class User(Protocol):
     """Who serves the calls."""
 
-    def taken_over(self, entry: Entry, done: Callable[[bytes], None]) -> None:
+    def taken_over(self, shard: ShardId, entry: Entry, done: Callable[[bytes], None]) -> None:
         """A dead member's call, not finished: release its sides, and say ``done`` with its record."""
 
+    def inherits(self, shard: ShardId, keys: Collection[str]) -> None:
+        """Its finished calls, whose records are kept from now on as long as our own."""
+
     def let_go(self, entry: Entry) -> None:
         """A call of ours that somebody else has taken: release it without a record."""
 
@@ -197,9 +200,11 @@
 
     def _taken_over(self, taken: TakenOver) -> None:
         log(f"we act for {_text(taken.shard)}: {len(taken.unfinished)} calls", "copies.taken_over")
+        if self.user is None:
+            return
+        self.user.inherits(taken.shard, taken.finished)
         for entry in taken.unfinished:
-            if self.user is not None:
-                self.user.taken_over(entry, self._finisher(taken.shard, entry.key))
+            self.user.taken_over(taken.shard, entry, self._finisher(taken.shard, entry.key))
 
     def _finisher(self, shard: ShardId, key: str) -> Callable[[bytes], None]:
         return lambda record: void(self.hold(key, Phase.OVER, record, shard=shard))
--- /dev/null
+++ b/reedmount/records/keeper.py
@@ -0,0 +1,162 @@
+"""Holds what is promised of the calls of this border controller, and finishes those of dead ones."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Collection
+from datetime import datetime, timedelta
+
+from msgspec.structs import replace
+
+from reedmount.core.checks import COUNTERS, log
+from reedmount.core.clock import micros
+from reedmount.core.ports import CUT, Offer
+from reedmount.core.switch import Switch
+from reedmount.fronts.sip import SipFront
+from reedmount.net.loop import Loop
+from reedmount.peers.copies import CopiesHost
+from reedmount.records.record import Held, decode, encode
+from reedmount.replicas.words import DATA_MOST, Entry, Phase, ShardId
+from reedmount.sip.dialog import Side
+
+SWEEP_EVERY = timedelta(seconds=1)
+SWEPT_AT_ONCE = 1000
+Then = Callable[[], None]
+
+
+class Keeper:
+    """It owns what is held of the calls that are here, and the queue of records that are complete."""
+
+    def __init__(
+        self, loop: Loop, switch: Switch, front: SipFront, copies: CopiesHost, name: str, keep_for: timedelta
+    ) -> None:
+        """``keep_for``: how long a complete record is kept."""
+        self._loop, self._switch, self._front, self._copies = loop, switch, front, copies
+        self._name, self._keep_for = name, keep_for
+        self._held: dict[str, tuple[ShardId, Held]] = {}  # until it is over
+        self._complete: deque[tuple[datetime, str, ShardId]] = deque()
+        copies.user = self
+        switch.keeper = front.keeper = self
+        loop.after(SWEEP_EVERY, self._sweep)
+
+    # --- what the core tells ---
+
+    def taken(self, offer: Offer, at: datetime) -> None:
+        """A call has come. Written behind its set-up, which takes longer."""
+        held = Held(offer.name, offer.call_class, offer.number, micros(at))
+        self._held[offer.name] = self._hold(Phase.TAKEN, held), held
+
+    def final(self, name: str, outcome: str, attempts: int, server: str, answer: Then) -> None:
+        """It is refused or has failed: its caller is told once its record is safe, or the wait is over."""
+        known = self._held.pop(name, None)
+        if known is None:
+            answer()
+            return
+        shard, held = known
+        now = micros(self._loop.clock.now())
+        held = replace(
+            held, answered_us=now, ended_us=now, outcome=outcome, attempts=attempts, server=server
+        )
+        self._finish(shard, held, lambda _: answer())
+
+    def ended(self, name: str, how: str) -> None:
+        """A call that stood has come to its end: written behind that."""
+        known = self._held.pop(name, None)
+        if known is not None:
+            shard, held = known
+            now = micros(self._loop.clock.now())
+            self._finish(shard, replace(held, ended_us=now, outcome=how, sides=()))
+
+    def dropped(self, name: str, attempts: int, server: str) -> None:
+        """The core has forgotten it; where nothing else was said of its end, its caller has given it up."""
+        known = self._held.pop(name, None)
+        if known is not None:
+            shard, held = known
+            now = micros(self._loop.clock.now())
+            self._finish(
+                shard, replace(held, ended_us=now, outcome="given up", attempts=attempts, server=server)
+            )
+
+    # --- what the front tells ---
+
+    def stands(self, name: str, server: str, attempts: int, sides: tuple[Side, ...], then: Then) -> None:
+        """A call server has answered: ``then`` acknowledges that and tells the caller."""
+        known = self._held.get(name)
+        if known is None:
+            then()
+            return
+        shard, held = known
+        held = replace(
+            held, answered_us=micros(self._loop.clock.now()), outcome="stands", attempts=attempts,
+            server=server, sides=sides,
+        )  # fmt: skip
+        self._held[name] = self._hold(Phase.STANDS, held, shard, lambda _: then()), held
+
+    # --- what the copies tell ---
+
+    def taken_over(self, shard: ShardId, entry: Entry, done: Callable[[bytes], None]) -> None:
+        """A dead border controller's call: release its sides, complete its record."""
+        self.inherits(shard, (entry.key,))
+        try:
+            held = decode(entry.data)
+        except ValueError as error:
+            COUNTERS.add("records.unreadable")
+            log(f"a record of {entry.key} cannot be read: {error}", "records.unreadable")
+            done(entry.data)
+            return
+        for side in held.sides:
+            COUNTERS.add("records.released")
+            self._front.release_for(side, CUT)
+        COUNTERS.add("records.finished")
+        how = "its owner died" if held.sides else "its owner died before an answer"
+        done(encode(replace(
+            held, ended_us=micros(self._loop.clock.now()), outcome=how, finished_by=self._name, sides=()
+        )))  # fmt: skip
+
+    def inherits(self, shard: ShardId, keys: Collection[str]) -> None:
+        """Complete records of a dead one: they are kept as long as our own."""
+        now = self._loop.clock.now()
+        self._complete += [(now, key, shard) for key in keys]
+
+    def let_go(self, entry: Entry) -> None:
+        """Another member has this call of ours: it released it, and we let go of it, without a record."""
+        COUNTERS.add("records.let_go")
+        self._held.pop(entry.key, None)
+        self._switch.cut(entry.key)
+
+    def goes_on(self, entry: Entry) -> None:
+        """Nobody else ever heard of this one: it is held anew, in the shard that we have now."""
+        known = self._held.get(entry.key)
+        if known is None:
+            return
+        held = known[1]
+        self._held[entry.key] = self._hold(Phase.STANDS if held.sides else Phase.TAKEN, held), held
+
+    # --- keeping ---
+
+    def _hold(
+        self, phase: Phase, held: Held, shard: ShardId | None = None,
+        then: Callable[[bool], None] | None = None,
+    ) -> ShardId:  # fmt: skip
+        data = encode(held)
+        if len(data) > DATA_MOST:
+            # Routes without measure: the record is worth more than a release that a survivor could send.
+            COUNTERS.add("records.too_long")
+            data = encode(replace(held, sides=(), number=held.number[:64]))
+        return self._copies.hold(held.name, phase, data, then, shard)
+
+    def _finish(self, shard: ShardId, held: Held, then: Callable[[bool], None] | None = None) -> None:
+        COUNTERS.add("records.complete")
+        where = self._hold(Phase.OVER, held, shard, then)
+        self._complete.append((self._loop.clock.now(), held.name, where))
+
+    def _sweep(self) -> None:
+        """Records that were kept for long enough go."""
+        now = self._loop.clock.now()
+        for _ in range(min(SWEPT_AT_ONCE, len(self._complete))):
+            at, name, shard = self._complete[0]
+            if now - at < self._keep_for:
+                break
+            self._complete.popleft()
+            self._copies.hold(name, Phase.DROPPED, b"", None, shard)
+        self._loop.after(SWEEP_EVERY, self._sweep)
--- /dev/null
+++ b/reedmount/records/settings.py
@@ -0,0 +1,56 @@
+"""The table ``[replicas]`` of an operator's file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+
+from reedmount.config import ConfigError
+from reedmount.replicas.placement import FAULTS_MOST
+from reedmount.store.faulty import Faults
+from reedmount.tables import Table
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaSettings:
+    """How calls are held for others."""
+
+    faults: int = 1  # machines that may be lost at once with their disks
+    folder: Path | None = None  # of the store; None: copies are kept in memory alone
+    sync: bool = True  # whether a record is kept once it is on the disk, or once the system has it
+    wait: timedelta = timedelta(milliseconds=100)  # the longest that a caller waits for a promise
+    keep_for: timedelta = timedelta(hours=1)  # a complete record
+    disk_faults: Faults = field(default_factory=Faults)  # for tests
+
+
+def read_replicas(table: Table, base: Path, members: int) -> ReplicaSettings:
+    """Read and check it. ``base``: the folder of the file; ``members``: how many the roster has. Raises
+    ConfigError naming the key."""
+    plain = ReplicaSettings()
+    faults = table.amount("faults", int, plain.faults, 0, FAULTS_MOST)
+    if members < 2 * faults + 1:
+        wants = 2 * faults + 1
+        raise ConfigError(f"{table.path}.faults: {faults} need a roster of {wants}, it has {members}")
+    disk = table.table("disk_faults")
+    try:
+        disk_faults = Faults(
+            seed=disk.amount("seed", int, 1, 0, 2**31),
+            lying_sync=disk.amount("lying_sync", float, 0.0, 0.0, 1.0),
+            torn_write=disk.amount("torn_write", float, 0.0, 0.0, 1.0),
+            turned_bits=disk.amount("turned_bits", int, 0, 0, 64),
+            full_after=disk.amount("full_after", int, 0, 0, 2**40),
+            unreadable=disk.amount("unreadable", float, 0.0, 0.0, 1.0),
+            read_only=disk.get("read_only", bool, False),
+        )
+    except ValueError as error:
+        raise ConfigError(f"{disk.path}: {error}") from None
+    disk.done()
+    return ReplicaSettings(
+        faults=faults,
+        folder=base / table.get("folder", str) if table.has("folder") else None,
+        sync=table.get("sync", bool, True),
+        wait=table.span("wait_ms", 100, 1, 5000),
+        keep_for=table.seconds("keep_s", 3600.0, 1.0, 604_800.0),
+        disk_faults=disk_faults,
+    )
--- a/reedmount/replicas/copy.py
+++ b/reedmount/replicas/copy.py
@@ -47,6 +47,7 @@
     def __init__(self, shard: ShardId, term: Term, complete: bool) -> None:
         self.shard, self.term, self.promised, self.complete = shard, term, term, complete
         self.seq = self.kept = 0
+        self.touched = False  # its writer was heard since somebody looked
         self._table = Table()
         self._coming = Table()  # of a snapshot that has begun
         self._pages = 0
--- a/reedmount/replicas/holder.py
+++ b/reedmount/replicas/holder.py
@@ -49,6 +49,7 @@
         copy, refusal = self._copy(sender, message.shard, message.term)
         if copy is None:
             return refusal
+        copy.touched = True
         fits = copy.complete and copy.term == message.term
         if fits and message.after <= copy.seq:
             news = [entry for entry in message.entries if entry.seq > copy.seq]
@@ -67,6 +68,7 @@
         copy, refusal = self._copy(sender, message.shard, message.term)
         if copy is None:
             return refusal
+        copy.touched = True
         if not copy.page(message.page, message.term, message.upto, message.entries):
             return [self._ack(sender, copy, False)]
         if not message.last:
--- a/reedmount/replicas/owner.py
+++ b/reedmount/replicas/owner.py
@@ -127,6 +127,13 @@
         if peer is not None and not self.fenced:
             self._ask(now, name, peer)
 
+    def lost(self, name: str) -> None:
+        """The way to a holder is not there any more: nothing is sent before it has said where it is. A step
+        that never left is nobody else's, should we be cut off for so long that another takes the shard."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.asked = True
+
     def flush(self, now: datetime) -> None:
         """Tell each holder what it lacks. Steps that come in one turn go out together."""
         if self.fenced:
--- a/reedmount/replicas/replicas.py
+++ b/reedmount/replicas/replicas.py
@@ -36,10 +36,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TakenOver:
-    """We act for a dead owner from now on: these calls are not finished, and it is ours to finish them."""
+    """We act for a dead owner from now on: these calls are not finished, and it is ours to finish them; and
+    the keys of those that are, which are ours to drop some day."""
 
     shard: ShardId
     unfinished: tuple[Entry, ...]
+    finished: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +135,8 @@
     def lost(self, name: str) -> None:
         """It is not any more."""
         self._connected.discard(name)
+        for owner in self._owners.values():
+            owner.lost(name)
 
     def heard(self, now: datetime, sender: str, message: Message) -> None:
         """A message has come."""
@@ -276,4 +280,5 @@
     def _finish(self, shard: ShardId) -> None:
         del self._finishing[shard]
         owner = self._owners[shard]
-        self._out.append(TakenOver(shard, tuple(owner.copy.unfinished)))
+        finished = tuple(entry.key for entry in owner.copy if entry.phase is Phase.OVER)
+        self._out.append(TakenOver(shard, tuple(owner.copy.unfinished), finished))
--- a/reedmount/replicas/succession.py
+++ b/reedmount/replicas/succession.py
@@ -21,6 +21,7 @@
 
 PATIENCE = timedelta(seconds=2)  # for the holder before us, and for promises that do not come
 ASK_AGAIN = timedelta(milliseconds=500)
+QUIET = timedelta(milliseconds=1500)  # whose writer was heard since is not gone, though our view is behind
 
 
 class Sight(Protocol):
@@ -63,6 +64,7 @@
         self._me, self._life, self._roster = me, life, frozenset(roster)
         self._faults, self._holder = faults, holder
         self._gone_at: dict[ShardId, datetime] = {}  # since when its owner is, as we see it
+        self._heard_at: dict[ShardId, datetime] = {}  # its writer, while our view calls that gone
         self._rounds: dict[ShardId, Round] = {}
 
     def look(self, now: datetime, sight: Sight) -> tuple[list[Send], list[Won]]:
@@ -71,11 +73,16 @@
         won: list[Won] = []
         for shard, copy in list(self._holder.copies.items()):
             if self._in_hand(copy, sight):
+                copy.touched = False
                 self._gone_at.pop(shard, None)
+                self._heard_at.pop(shard, None)
                 self._rounds.pop(shard, None)  # somebody else has a higher term than we asked for
                 continue
             since = self._gone_at.setdefault(shard, now)
-            if not sight.may_decide:
+            if copy.touched:
+                copy.touched, self._heard_at[shard] = False, now
+            heard = self._heard_at.get(shard)
+            if not sight.may_decide or heard is not None and now - heard < QUIET:
                 continue
             if shard in self._rounds:
                 sends += self._ask_again(now, shard)
@@ -86,6 +93,7 @@
                 won.append(done)
         for shard in self._gone_at.keys() - self._holder.copies.keys():
             del self._gone_at[shard]
+            self._heard_at.pop(shard, None)
             self._rounds.pop(shard, None)
         return sends, won
 
@@ -156,6 +164,7 @@
             return None
         del self._rounds[shard]
         self._gone_at.pop(shard, None)
+        self._heard_at.pop(shard, None)
         if short:
             COUNTERS.add("replicas.short")
         COUNTERS.add("replicas.taken_over")
--- a/reedmount/sip/dialog.py
+++ b/reedmount/sip/dialog.py
@@ -46,6 +46,37 @@
         return True
 
 
+@dataclass(frozen=True, slots=True)
+class Side:
+    """A leg as somebody else needs it to end it: a dialog as its owner last had it, and the transport."""
+
+    call_id: str
+    local: str
+    remote: str
+    target: str
+    route: tuple[str, ...]
+    number: int
+    transport: str  # udp or tcp
+
+    @classmethod
+    def of(cls, dialog: Dialog, reliable: bool) -> Side:
+        """Of a dialog, and whether its transport is a reliable one."""
+        return cls(
+            dialog.call_id, dialog.local, dialog.remote, dialog.target, tuple(dialog.route), dialog.number,
+            "tcp" if reliable else "udp",
+        )  # fmt: skip
+
+    @property
+    def dialog(self) -> Dialog:
+        """The dialog again."""
+        return Dialog(self.call_id, self.local, self.remote, self.target, list(self.route), self.number)
+
+    @property
+    def next_hop(self) -> str:
+        """The URI at which the peer is reached: that of the first route, or its Contact."""
+        return uri_of(self.route[0]) if self.route else self.target
+
+
 def routes(message: Message) -> list[str]:
     """The Record-Route values, in order."""
     return [value for text in message.all("Record-Route") for value in header_values(text)]
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -37,6 +37,8 @@
     to: str = ""
     target: str = ""
     released: bool = False
+    ended: datetime | None = None  # by a BYE that came
+    byes: int = 0  # that came
     heard: bool = False  # anything at all
 
     @property
@@ -86,14 +88,14 @@
             busy = True
         while True:
             try:
-                data = self._sock.recv(65536)
+                data, source = self._sock.recvfrom(65536)
             except BlockingIOError:
                 return busy
             except OSError:
                 continue
             busy = True
             try:
-                self._take(now, parse_datagram(data))
+                self._take(now, parse_datagram(data), source)
             except SipError:
                 self.counts["malformed"] += 1
 
@@ -157,7 +159,7 @@
         ]  # fmt: skip
         return request(method, call.target or f"sip:{call.number}@net", headers, body)
 
-    def _take(self, now: datetime, message: Message) -> None:
+    def _take(self, now: datetime, message: Message, source: tuple[str, int]) -> None:
         call = self.calls.get(message.call_id)
         if call is None:
             self.counts["unknown"] += 1
@@ -165,8 +167,10 @@
         if message.is_request:
             self.counts[message.method] += 1
             if message.method == "BYE":
-                call.released = True
-                self._send(response(message, 200).encode())
+                call.byes += not call.released or call.ended is not None
+                if not call.released:
+                    call.released, call.ended = True, now
+                self._sock.sendto(response(message, 200).encode(), source)
             return
         call.heard = True
         if message.cseq[1] != "INVITE" or message.status < 200:
--- a/standins/callserver.py
+++ b/standins/callserver.py
@@ -53,6 +53,7 @@
         self.invites: list[datetime] = []
         self.names: list[str] = []  # the descriptions that came, which name the calls
         self.standing: set[str] = set()
+        self.confirmed: set[str] = set()  # of these, the ones whose 200 was acknowledged
         self._answers: OrderedDict[str, bytes] = OrderedDict()  # last INVITE answer by Call-ID
         self._due: list[tuple[datetime, int, Callable[[], None]]] = []
         self._order = 0
@@ -161,10 +162,13 @@
             self._invite(now, message, send)
         elif message.method == "BYE":
             self.standing.discard(message.call_id)
+            self.confirmed.discard(message.call_id)
             send(response(message, 200).encode())
         elif message.method == "CANCEL":
             send(response(message, 200, tag="s").encode())
-        elif message.method != "ACK":
+        elif message.method == "ACK":
+            self.confirmed |= {message.call_id} & self.standing
+        else:
             send(response(message, 501, tag="s").encode())
 
     def _invite(self, now: datetime, message: Message, send: Way) -> None:
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -20,6 +20,7 @@
 
 START = EPOCH + timedelta(days=20_000)
 SEEN_AFTER_S = 3.0  # a member that is gone or cut off is called dead
+BACK_AFTER_S = 1.0  # and one that is back is seen to be
 TICK_S = 0.1
 WAY_S = (0.0005, 0.004)
 DISK_S = (0.0002, 0.004)
@@ -64,6 +65,7 @@
         self.messages = self.bytes = 0
         self._cut: set[frozenset[str]] = set()
         self._apart_since: dict[frozenset[str], float] = {}
+        self._back_at: dict[frozenset[str], float] = {}
         self._links: dict[tuple[str, str], int] = defaultdict(int)  # generations: what was on its way is lost
         self._last: dict[tuple[str, str], float] = defaultdict(float)
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -124,7 +126,10 @@
     def _join(self, one: str, other: str) -> None:
         if one == other or self._apart(one, other):
             return
-        self._apart_since.pop(frozenset((one, other)), None)
+        pair = frozenset((one, other))
+        since = self._apart_since.pop(pair, self.now_s)
+        if self.now_s - since > SEEN_AFTER_S:
+            self._back_at[pair] = self.now_s + BACK_AFTER_S
         for a, b in ((one, other), (other, one)):
             self._links[a, b] += 1
             replicas = self.members[a].replicas
@@ -297,7 +302,10 @@
         """Of a member that is taken for alive."""
         if name == self._me:
             return self._group.members[name].life
-        since = self._group._apart_since.get(frozenset((name, self._me)))
+        pair = frozenset((name, self._me))
+        since = self._group._apart_since.get(pair)
+        if self._group.now_s < self._group._back_at.get(pair, 0.0):
+            return None
         if since is not None and self._group.now_s - since > SEEN_AFTER_S:
             return None
         return self._group.members[name].life
--- a/standins/faults/cases.py
+++ b/standins/faults/cases.py
@@ -369,3 +369,62 @@
         rig.run(5)
         assert rig.agreed(), "a name that cannot be learnt changed something"
         return {"met after, s": round(met, 2), "one view after a restart without it, s": again} | _finish(rig)
+
+
+COPIES = """
+[replicas]
+faults = 1
+folder = "store-NAME"
+"""
+
+
+@case
+def owner_killed(folder: Path, seed: int) -> Figures:
+    """A border controller with standing calls gets SIGKILL: survivors release both sides within 8 s."""
+    with Rig(folder, 5, seed, servers=4, call_rate=4.0, more=COPIES, hold_s=60.0) as rig:
+        rig.started()
+        rig.run(2)
+        rig.call(8)
+        rig.run(9)
+        stood = rig.standing_at("n2")
+        others = {name: rig.standing_at(name) for name in rig.names if name != "n2"}
+        assert min(stood) > 10, "nothing to release"
+        at = rig.history.now_s
+        rig.kill("n2")
+        released = rig.until(lambda: rig.standing_at("n2") == (0, 0), 8)
+        took = rig.history.now_s - at
+        assert released, f"of {stood} {rig.standing_at('n2')} stand after 8 s"
+        now = {name: rig.standing_at(name) for name in others}
+        assert now == others, f"calls of others were touched: {others}, {now}"
+        rig.start(["n2"])
+        one = _one_view(rig, HEALED_S)
+        found: Figures = {"released": stood, "after, s": round(took, 2), "one view after, s": one}
+        return found | _finish(rig, ("n2",))
+
+
+@case
+def owner_cut_off(folder: Path, seed: int) -> Figures:
+    """A border controller is cut off from the others, not from callers and call servers: others release what
+    it had promised. It serves on, and what nobody else ever heard of stands on when it is back."""
+    with Rig(folder, 5, seed, servers=4, call_rate=4.0, more=COPIES, hold_s=60.0) as rig:
+        rig.started()
+        rig.run(2)
+        rig.call(30)
+        rig.run(6)
+        calls = rig.callers["n2"].calls
+        promised = {name for name, call in calls.items() if call.final == 200}
+        at = rig.history.now_s
+        rig.cut(["n2"], [name for name in rig.names if name != "n2"])
+        assert rig.until(lambda: all(calls[name].released for name in promised), 10), "promised, not released"
+        took = rig.history.now_s - at
+        before = set(calls)
+        rig.run(4)
+        alone = {name for name, call in calls.items() if name not in before and call.final == 200}
+        assert len(alone) > 5, "it serves on while it is cut off"
+        rig.heal()
+        one = _one_view(rig, HEALED_S)
+        rig.run(4)
+        ended = [name for name in alone if calls[name].released]
+        assert not ended, f"{len(ended)} of {len(alone)} calls of which nobody knew were released"
+        found: Figures = {"released": len(promised), "after, s": round(took, 2), "one view after, s": one}
+        return found | {"served alone": len(alone)} | _finish(rig)
--- a/standins/faults/rig.py
+++ b/standins/faults/rig.py
@@ -27,6 +27,7 @@
 from standins.faults.history import History
 from standins.faults.net import Net
 from standins.faults.process import Process
+from standins.faults.streams import Streams
 from standins.nameserver import NameServer
 
 PROXY, SERVER = 100, 200  # the last numbers of addresses: proxies, call servers; members have their own
@@ -88,9 +89,11 @@
         call_rate: float = 0.0,
         more: str = "",
         by_name: bool = False,
+        hold_s: float = 2.0,
     ) -> None:
-        """``more`` goes into each file's ``[members]``. ``by_name``: they meet by an SRV name alone, which a
-        stand-in for a name server tells them (``names``)."""
+        """``more`` goes into each file's ``[members]``, NAME being the member's; calls stand for ``hold_s``.
+        ``by_name``: they meet by an SRV name alone, which a stand-in for a name server tells (``names_at``).
+        """
         assert 1 <= members <= 64
         pid = os.getpid()
         self._net = f"127.{1 + (pid >> 8) % 250}.{pid & 255}"
@@ -103,6 +106,7 @@
         proxies = {name: (self._host(PROXY + number), 7946) for number, name in enumerate(self.names)}
         self._own = own
         self.net = Net(own, proxies, self.rng.getrandbits(32))
+        self.streams = Streams(own, proxies, self.net.links)
         self._tell = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._tell.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
         self._tell.bind((self._host(99), 0))
@@ -126,7 +130,8 @@
         ways = [] if by_name else [text_of(way) for way in proxies.values()]
         self._keys = {
             name: {
-                "name": name, "host": own[name][0], "members": members, "group": f"rig-{pid}", "more": more,
+                "name": name, "host": own[name][0], "members": members, "group": f"rig-{pid}",
+                "more": more.replace("NAME", name),
                 "advertise": text_of(proxies[name]), "roster": _quoted(self.names),
                 "tell": text_of(self._told_at), "ways_in": _quoted(ways),
             }
@@ -134,7 +139,7 @@
         }  # fmt: skip
         self.processes = {name: Process(name, folder, self._file(name, self.servers)) for name in self.names}
         self.callers = {
-            name: Callers((own[name][0], 5060), call_rate, seed=number + 1, hold=timedelta(seconds=2))
+            name: Callers((own[name][0], 5060), call_rate, seed=number + 1, hold=timedelta(seconds=hold_s))
             for number, name in enumerate(self.names)
             if call_rate
         }
@@ -161,6 +166,7 @@
         for process in self.processes.values():
             process.close()
         self.net.close()
+        self.streams.close()
         self._tell.close()
         if self.names_at is not None:
             self.names_at.kill()
@@ -240,7 +246,7 @@
                 return False
             due = self.net.due_at
             wait = min(end, now + 0.05, due if due is not None else now + 0.05) - now
-            descriptors = [*self.net.descriptors(), self._tell.fileno()]
+            descriptors = [*self.net.descriptors(), *self.streams.descriptors(), self._tell.fileno()]
             for stand in self._stands:
                 descriptors += stand.descriptors()
             select.select(descriptors, [], [], max(0.0, wait))
@@ -250,6 +256,7 @@
     def _pump(self) -> None:
         now = datetime.now(UTC)
         self.net.pump(time.monotonic())
+        self.streams.pump()
         for stand in self._stands:
             stand.pump(now)
         while True:
@@ -283,6 +290,15 @@
 
     # --- what holds ---
 
+    def standing_at(self, name: str) -> tuple[int, int]:
+        """How many calls of one member stand, as their callers see it, and as the call servers do: there one
+        stands once its 200 was acknowledged, before that they end it themselves (RFC 3261, 13.3.1.4)."""
+        host = self._own[name][0]
+        calls = self.callers[name].calls.values()
+        near = sum(call.final == 200 and not call.released for call in calls)
+        far = sum(call.endswith(f"@{host}") for server in self.servers for call in server.confirmed)
+        return near, far
+
     def up(self) -> list[str]:
         """Whose process runs and is not stopped."""
         return [name for name, one in self.processes.items() if one.running and not one.stopped]
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from pathlib import Path
@@ -13,7 +13,7 @@
 from reedmount.core.checks import COUNTERS
 from reedmount.peers.copies import CopiesHost
 from reedmount.peers.host import Peers
-from reedmount.replicas.words import Entry, Old, Phase, Term
+from reedmount.replicas.words import Entry, Old, Phase, ShardId, Term
 from reedmount.store.faulty import Faults, FaultyDisk, disk_of
 from reedmount.store.log import Log
 from reedmount.store.writer import Writer
@@ -31,8 +31,12 @@
     released: list[str] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
     anew: list[str] = field(default_factory=list)
+    inherited: list[str] = field(default_factory=list)
 
-    def taken_over(self, entry: Entry, done: Callable[[bytes], None]) -> None:
+    def inherits(self, shard: ShardId, keys: Collection[str]) -> None:
+        self.inherited += keys
+
+    def taken_over(self, shard: ShardId, entry: Entry, done: Callable[[bytes], None]) -> None:
         self.released.append(entry.key)
         done(b"released")
 
@@ -134,6 +138,7 @@
     fleet.run(4 * S)
     found = sorted(others[0].released + others[1].released)
     assert found == sorted(f"c{number}" for number in range(1, 20)), "each once"
+    assert others[0].inherited + others[1].inherited == ["c0"], "its record is kept by whoever has it now"
     fleet.start("n1")
     fleet.run(8 * S)
     assert not fleet.calls["n1"].released
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -161,8 +161,9 @@
     loaded = done.stdout.split()
     new = ("dns", "scipy", "numpy", "click", "standins", "reedmount.dns", "reedmount.pool",
            "reedmount.sources", "reedmount.members", "reedmount.peers", "reedmount.store",
-           "reedmount.replicas", "msgspec", "crc32c", "reedmount.operate", "reedmount.operator_file",
-           "reedmount.fronts.sip", "reedmount.fronts.sip_servers")  # fmt: skip
+           "reedmount.replicas", "reedmount.records", "msgspec", "crc32c",
+           "reedmount.operate", "reedmount.operator_file", "reedmount.fronts.sip",
+           "reedmount.fronts.sip_servers")  # fmt: skip
     assert not [name for name in loaded if name in new or name.startswith(tuple(f"{item}." for item in new))]
     assert "reedmount.fronts.platform" in loaded
 
