Show records at the door; count them against what callers saw, through kills

Change: GET /admin/records (complete records at their owner of now, by page), a call's reference to its caller (Call-ID) in the offer and the record, a checker that sets records against what callers saw, the case lying_disks (four kills before disks that lie and turn bits).

--- a/reedmount/core/ports.py
+++ b/reedmount/core/ports.py
@@ -24,6 +24,7 @@
     redialled: bool = False
     was_cut: bool = False
     leaves_at: datetime | None = None  # when its caller gives up, which is later than ``answer_by``
+    reference: str = ""  # what its caller calls it, for records
 
 
 class Progress(Enum):
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -355,6 +355,7 @@
             answer_by=leaves_at - ANSWER_EARLY,
             description=message.body,
             leaves_at=leaves_at,
+            reference=message.call_id,
         )
         if not self.switch.offer(offer, leg):
             leg.failed(name)
--- a/reedmount/operate.py
+++ b/reedmount/operate.py
@@ -36,12 +36,13 @@
 if TYPE_CHECKING:
     from reedmount.peers.copies import CopiesHost
     from reedmount.peers.host import Peers
+    from reedmount.records.keeper import Keeper
     from reedmount.sources.hearsay import HearsayHost
     from reedmount.store.disk import Disk
     from reedmount.store.log import Log
     from reedmount.store.writer import Writer
 
-POOL, MEMBERS, COPIES = "/admin/pool", "/admin/members", "/admin/copies"
+POOL, MEMBERS, COPIES, RECORDS = "/admin/pool", "/admin/members", "/admin/copies", "/admin/records"
 SOURCES = (BOARD, FIXED, ZONE, SRV)  # in this order where they name a server differently
 
 
@@ -158,7 +159,8 @@
             "call_servers": None if hearsay is None else hearsay.view(),
         }  # fmt: skip
     if copies is not None:
-        views[COPIES] = lambda _: copies.view()
+        held, keeper = copies
+        views[COPIES], views[RECORDS] = lambda _: held.view(), keeper.view
     made.open_door(config.control, views)
     made.where = f"SIP served at {text_of(front.endpoint.address)}, call servers from {_named(config)}"
     made.parts = (front, sources, peers, hearsay, copies)
@@ -205,7 +207,7 @@
 
 def _open_copies(
     loop: Loop, node: Node, front: SipFront, peers: Peers | None, config: Operator
-) -> CopiesHost | None:
+) -> tuple[CopiesHost, Keeper] | None:
     """Hold what is promised of calls for others, and others' for them, where the file says so."""
     if peers is None or config.members is None or config.replicas is None:
         return None
@@ -230,8 +232,7 @@
     copies = CopiesHost(
         loop, peers, members.name, members.group, members.listen, wanted.faults, store, make, wanted.wait
     )
-    Keeper(loop, node.switch, front, copies, members.name, wanted.keep_for)
-    return copies
+    return copies, Keeper(loop, node.switch, front, copies, members.name, wanted.keep_for)
 
 
 def _writer(
--- a/reedmount/records/keeper.py
+++ b/reedmount/records/keeper.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from datetime import datetime, timedelta
+from itertools import islice
 
+import msgspec
 from msgspec.structs import replace
 
 from reedmount.core.checks import COUNTERS, log
@@ -21,6 +23,8 @@
 
 SWEEP_EVERY = timedelta(seconds=1)
 SWEPT_AT_ONCE = 1000
+REFERENCE_MOST = 256  # characters of a Call-ID
+PAGE = 256  # records in one answer at the door
 Then = Callable[[], None]
 
 
@@ -39,11 +43,38 @@
         switch.keeper = front.keeper = self
         loop.after(SWEEP_EVERY, self._sweep)
 
+    def view(self, query: dict[str, str]) -> dict[str, object]:
+        """A page of the complete records that are ours, for the door; ``after`` asks for what comes behind so
+        many. Each record is at one member: whoever owned the call last."""
+        text = query.get("after", "0")
+        after = int(text) if text.isdecimal() and len(text) < 12 else 0
+        found = list(islice(self._records(), after, after + PAGE + 1))
+        page = [record for record in found[:PAGE] if record is not None]
+        return {"records": page, "next": after + PAGE if len(found) > PAGE else None}
+
+    def _records(self) -> Iterator[dict[str, object] | None]:
+        for owner in self._copies.replicas.owners.values():
+            for entry in owner.copy:
+                if entry.phase is Phase.OVER:
+                    yield self._shown(entry)
+
+    def _shown(self, entry: Entry) -> dict[str, object] | None:
+        try:
+            held = decode(entry.data)
+        except ValueError:
+            COUNTERS.add("records.unreadable")
+            return None
+        shown = msgspec.structs.asdict(held)
+        del shown["sides"]
+        return shown
+
     # --- what the core tells ---
 
     def taken(self, offer: Offer, at: datetime) -> None:
         """A call has come. Written behind its set-up, which takes longer."""
-        held = Held(offer.name, offer.call_class, offer.number, micros(at))
+        held = Held(
+            offer.name, offer.call_class, offer.number, micros(at), reference=offer.reference[:REFERENCE_MOST]
+        )
         self._held[offer.name] = self._hold(Phase.TAKEN, held), held
 
     def final(self, name: str, outcome: str, attempts: int, server: str, answer: Then) -> None:
--- a/reedmount/records/record.py
+++ b/reedmount/records/record.py
@@ -21,6 +21,7 @@
     server: str = ""
     finished_by: str = ""  # who completed the record, where that was not its owner
     sides: tuple[Side, ...] = ()  # the caller's, the call server's, while it stands
+    reference: str = ""  # what its caller calls it: the Call-ID of its INVITE
 
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/standins/faults/cases.py
+++ b/standins/faults/cases.py
@@ -428,3 +428,51 @@
         assert not ended, f"{len(ended)} of {len(alone)} calls of which nobody knew were released"
         found: Figures = {"released": len(promised), "after, s": round(took, 2), "one view after, s": one}
         return found | {"served alone": len(alone)} | _finish(rig)
+
+
+LYING = """
+[replicas.disk_faults]
+seed = 3
+lying_sync = 0.3
+torn_write = 0.5
+turned_bits = 2
+"""
+
+
+def killed_again_and_again(folder: Path, seed: int, kills: int) -> Figures:
+    """Kills one after the other while calls come, before disks that lie and turn bits: no promised call is
+    left standing, and each call has one record."""
+    with Rig(folder, 5, seed, servers=4, call_rate=6.0, more=COPIES + LYING, hold_s=4.0) as rig:
+        rig.started()
+        rig.run(2)
+        spans, released = [], 0
+        for _ in range(kills):
+            rig.call(3)
+            rig.run(3)
+            name = rig.rng.choice(rig.names)
+            calls = rig.callers[name].calls
+            stood = {key for key, call in calls.items() if call.final == 200 and not call.released}
+            rig.kill(name)
+            at = rig.history.now_s
+            gone = rig.until(lambda: rig.standing_at(name)[1] == 0, 8)  # noqa: B023
+            assert gone, f"{rig.standing_at(name)} of {len(stood)} stand 8 s after the death of {name}"
+            spans.append(rig.history.now_s - at)
+            released += len(stood)
+            rig.start([name])
+            assert rig.until(rig.agreed, 10), "not one view again"
+            rig.run(1)
+        last = datetime.now(UTC)
+        rig.run(6)
+        wrong = checks.records_wrong(rig, last)
+        assert not wrong, f"{len(wrong)} calls without their one record: {wrong[:5]}"
+        placed = sum(len(callers.calls) for callers in rig.callers.values())
+        return {
+            "kills": kills, "stood": released, "calls": placed, "released after, s": checks.spread_of(spans),
+            "untold": rig.untold, "datagrams": rig.net.counts["sent"],
+        }  # fmt: skip
+
+
+@case
+def lying_disks(folder: Path, seed: int) -> Figures:
+    """Four kills before disks that lie: nothing promised is lost, and each call has one record."""
+    return killed_again_and_again(folder, seed, 4)
--- a/standins/faults/checks.py
+++ b/standins/faults/checks.py
@@ -89,3 +89,19 @@
     if not found:
         return {}
     return {"median": round(statistics.median(found), 2), "most": round(found[-1], 2)}
+
+
+def records_wrong(rig: Rig, before: datetime) -> list[str]:
+    """Calls that had their final answer before an instant and have not just one complete record, as their
+    callers count them; and records of calls that no caller placed."""
+    counts: dict[str, list[str]] = defaultdict(list)
+    for name in rig.up():
+        for record in rig.records(name):
+            counts[str(record["reference"])].append(name)
+    placed = {call.name: call for callers in rig.callers.values() for call in callers.calls.values()}
+    wrong = [f"{ref}: nobody placed it" for ref in counts if ref not in placed]
+    for ref, call in placed.items():
+        over = call.final is not None and (call.final >= 300 or call.released)
+        if over and call.answered is not None and call.answered < before and len(counts[ref]) != 1:
+            wrong.append(f"{ref}: {call.final}, records at {counts[ref]}")
+    return wrong
--- a/standins/faults/rig.py
+++ b/standins/faults/rig.py
@@ -305,14 +305,28 @@
 
     def shared(self, name: str) -> int:
         """Among how many a member shares the call servers, as its door says."""
+        return int(str(self._asked(name, "/admin/members")["shared_among"]))
+
+    def records(self, name: str) -> list[dict[str, object]]:
+        """The complete records that are a member's."""
+        found: list[dict[str, object]] = []
+        after: object = 0
+        while after is not None:
+            page = self._asked(name, f"/admin/records?after={after}")
+            records, after = page["records"], page["next"]
+            assert isinstance(records, list)
+            found += records
+        return found
+
+    def _asked(self, name: str, path: str) -> dict[str, object]:
         with socket.create_connection((self._own[name][0], 8060), timeout=5) as door:
-            door.sendall(b"GET /admin/members HTTP/1.1\r\nHost: rig\r\n\r\n")
+            door.sendall(b"GET %s HTTP/1.1\r\nHost: rig\r\n\r\n" % path.encode())
             said = b""
             while data := door.recv(65536):
                 said += data
         found = json.loads(said.partition(b"\r\n\r\n")[2])
         assert isinstance(found, dict)
-        return int(found["shared_among"])
+        return found
 
     def state(self, by: str, about: str) -> str | None:
         """What one last said that it thinks of another."""
