--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -2,9 +2,10 @@
 
     python -m benchmarks.copies step
     python -m benchmarks.copies catchup --records 10000
+    python -m benchmarks.copies calls
 
-Real sockets and files, all members on the loop of one process: a processor is shared by all of them, so that
-times are those of a machine that has the work of the others as well.
+The first two have real sockets and files, and all members on the loop of one process: a processor is shared
+by all of them, so that times are those of a machine that has the work of the others as well.
 """
 
 from __future__ import annotations
@@ -30,6 +31,8 @@
 from reedmount.store.disk import RealDisk
 from reedmount.store.log import Log
 from reedmount.store.writer import Writer
+from standins.faults.cases import COPIES
+from standins.faults.rig import Rig
 
 NAMES = ("n1", "n2", "n3")
 RECORD = 600  # bytes: a standing call with its two dialogs
@@ -136,6 +139,56 @@
         )
 
 
+def _processor_s(rig: Rig) -> float:
+    """What all members have used, the writers' threads included."""
+    ticks = 0
+    for process in rig.processes.values():
+        fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _calls(folder: Path, more: str, rate: float, seconds: float) -> tuple[float, list[float]]:
+    """Processor time a call beyond what an idle group uses, and how long answers took, in seconds."""
+    with Rig(folder, 5, 1, servers=8, call_rate=rate, more=more, hold_s=1.0) as rig:
+        rig.started()
+        rig.run(3)
+        before = _processor_s(rig)
+        rig.run(seconds)
+        idle = _processor_s(rig) - before
+        rig.call(seconds)
+        before = _processor_s(rig)
+        rig.run(seconds)
+        used = _processor_s(rig) - before - idle
+        rig.run(2)
+        placed = sum(len(callers.calls) for callers in rig.callers.values())
+        assert not any(callers.faults() for callers in rig.callers.values())
+        return used / placed, sorted(span for one in rig.callers.values() for span in one.delays())
+
+
+@main.command()
+@click.option("--rate", default=20.0, show_default=True, help="calls a second at each of five members")
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--pairs", default=3, show_default=True)
+def calls(rate: float, seconds: float, pairs: int) -> None:
+    """Five processes of the program with copies off and on, in turn: processor time a call, answers."""
+    click.echo("| pair | off: us a call | on | ratio | answer off: median, p99, ms | on |")
+    click.echo("| --- | --- | --- | --- | --- | --- |")
+    for pair in range(1, pairs + 1):
+        found = []
+        for more in ("", COPIES):
+            with tempfile.TemporaryDirectory() as folder:
+                found.append(_calls(Path(folder), more, rate, seconds))
+        (off, off_spans), (on, on_spans) = found
+        shown = [
+            f"{statistics.median(spans) * 1000:.1f}, {spans[int(0.99 * len(spans))] * 1000:.1f}"
+            for spans in (off_spans, on_spans)
+        ]
+        click.echo(
+            f"| {pair} | {off * 1e6:.0f} | {on * 1e6:.0f} | {on / off:.2f} | {shown[0]} | {shown[1]} |"
+        )
+
+
 @main.command()
 @click.option("--records", default=10_000, show_default=True)
 def catchup(records: int) -> None:
