Take out a way to tell facts that nothing but its test used

Need: Rumours tells facts since they go over the wire; Knowledge.next_facts had no other user than tests. Change: it is gone; its tests speak to Rumours.

--- a/reedmount/members/knowledge.py
+++ b/reedmount/members/knowledge.py
@@ -108,7 +108,6 @@
     def __init__(self, me: str) -> None:
         self._me = me
         self._heard: dict[str, dict[str, Heard]] = {}  # by server and observer
-        self._turn: list[str] = []  # whose facts are told next
 
     def __len__(self) -> int:
         """Of how many servers there is anything."""
@@ -144,21 +143,6 @@
         for server, kept in self._heard.items():
             yield server, list(kept.values())
 
-    def next_facts(self, now: datetime, count: int) -> list[Fact]:
-        """So many facts to pass on, in turn over the servers, the freshest of each first."""
-        self.forget(now)
-        facts: list[Fact] = []
-        for _ in range(len(self._heard)):
-            if len(facts) >= count:
-                break
-            if not self._turn:
-                self._turn = sorted(self._heard)
-            server = self._turn.pop()
-            kept = self._heard.get(server, {}).values()
-            freshest = sorted(kept, key=lambda heard: heard.observed, reverse=True)
-            facts += [heard.aged(now) for heard in freshest[:OBSERVERS_LEAST]]
-        return facts[:count]
-
     def beliefs(self, now: datetime, others: int) -> list[Belief]:
         """What to take to be so, as a newcomer among so many others."""
         self.forget(now)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -18,6 +18,7 @@
     Knowledge,
     ListState,
 )  # fmt: skip
+from reedmount.members.rumours import Rumours
 from standins.gossip.net import START
 
 MS, S = timedelta(milliseconds=1), timedelta(seconds=1)
@@ -42,11 +43,11 @@
     said = [fact("n1")]
     for number, (kept_ms, way_ms) in enumerate(hands):
         here = START + number * timedelta(days=number) + now * MS  # each by a clock of its own
-        knowledge = Knowledge(f"hand{number}")
+        knowledge = Rumours(f"hand{number}", 6)
         true_ms += way_ms
         knowledge.told(here, said)
         true_ms += kept_ms
-        said = knowledge.next_facts(here + kept_ms * MS, 5)
+        said = knowledge.all_facts(here + kept_ms * MS)
         if true_ms > OLDEST / MS:
             assert not said
         if not said:
@@ -92,15 +93,20 @@
     (belief,) = knowledge.beliefs(START + S, others=1)
     assert belief.window == 2 and belief.observers == 1
     knowledge.saw(START, fact("me", 700))
-    assert {item.by for item in knowledge.next_facts(START + S, 9)} == {"n1", "me"}
+    assert {heard.fact.by for _, kept in knowledge for heard in kept} == {"n1", "me"}
 
 
 def test_what_is_kept_and_told_is_bounded_and_each_server_has_its_turn() -> None:
     knowledge = Knowledge("me")
     servers = [Fact(f"s{n}", "n1", 0, ListState.SERVING) for n in range(SERVERS_MOST + 5)]
     assert knowledge.told(START, servers) == SERVERS_MOST == len(knowledge)
-    told = [item.server for _ in range(SERVERS_MOST // 8) for item in knowledge.next_facts(START, 8)]
-    assert len(set(told)) == SERVERS_MOST
+    rumours, told = Rumours("me", 1), []
+    rumours.told(START, servers)
+    while len(rumours):
+        waiting, facts = rumours.next_facts(START)
+        told += [item.server for item in facts]
+        rumours.sent(waiting, 7)
+    assert len(told) == len(set(told)) == SERVERS_MOST
     many = Knowledge("me")
     many.told(START, [fact(f"n{n}", age_ms=n * 10) for n in range(OBSERVERS_MOST + 9)])
     (belief,) = many.beliefs(START, 99)
