--- a/reedmount/peers/copies.py
+++ b/reedmount/peers/copies.py
@@ -207,7 +207,10 @@
             self.user.taken_over(taken.shard, entry, self._finisher(taken.shard, entry.key))
 
     def _finisher(self, shard: ShardId, key: str) -> Callable[[bytes], None]:
-        return lambda record: void(self.hold(key, Phase.OVER, record, shard=shard))
+        def finish(record: bytes) -> None:
+            self.hold(key, Phase.OVER, record, shard=shard)
+
+        return finish
 
     def _fenced(self, fenced: Fenced) -> None:
         log(f"another member has taken {_text(fenced.shard)}", "copies.fenced")
@@ -271,11 +274,7 @@
         if kept.entries:
             self._writer.kick()
         else:  # what it waits for may be there already
-            self._loop.soon(lambda: self._on_disk(self._log_durable))
-
-    @property
-    def _log_durable(self) -> int:
-        return self._store.durable if self._store is not None else 0
+            self._loop.soon(partial(self._on_disk, self._store.durable))
 
     def _on_disk(self, durable: int) -> None:
         now = self._loop.clock.now()
@@ -330,10 +329,6 @@
             log(f"the disk had {count} calls of {len(found)} shards", "copies.restored")
 
 
-def void(_: object) -> None:
-    """Nothing is done with what came back."""
-
-
 def _key(shard: ShardId, call: str) -> bytes:
     return f"{shard.owner}/{shard.life:08x}/{shard.epoch:x}/{call}".encode()
 
--- a/reedmount/replicas/owner.py
+++ b/reedmount/replicas/owner.py
@@ -107,14 +107,14 @@
 
     # --- what the owner of this calls ---
 
-    def append(self, now: datetime, key: str, phase: Phase, data: bytes) -> int:
-        """The next step of a call; its number."""
+    def append(self, key: str, phase: Phase, data: bytes) -> Entry:
+        """The next step of a call."""
         entry = Entry(self.copy.seq + 1, key, phase, data, self.copy.term)
         self.copy.add(entry)
         self._log.append(entry)
         if len(self._log) > LOG_MOST:
             self._log.popleft()
-        return entry.seq
+        return entry
 
     def kept_here(self, seq: int) -> None:
         """Our own copy is where it should be, up to here."""
--- a/reedmount/replicas/replicas.py
+++ b/reedmount/replicas/replicas.py
@@ -106,9 +106,9 @@
         if owner is None or owner.fenced:
             COUNTERS.add("replicas.not_ours")
             return 0
-        seq = owner.append(now, key, phase, data)
-        self._out.append(Kept(owner.shard, seq, [entry for entry in (owner.copy.get(key),) if entry]))
-        return seq
+        entry = owner.append(key, phase, data)
+        self._out.append(Kept(owner.shard, entry.seq, [owner.copy.get(key) or entry]))
+        return entry.seq
 
     def flush(self, now: datetime) -> None:
         """All that came in this turn goes out."""
