Ask a notice board again after a dial without a descriptor, and hear slow ones out

Second: a poll had LINGER + 0.4 s for its whole answer, whatever had come: a whole list in pieces over a longer time, or a board half a second slow, was given up each time, so a drain was never heard. Ruled out: Silence and the retry after a loss both arm a timer; a poll that a move() crosses is told by its number. Change: a dial that fails is counted (board.no_socket) and tried again after RETRY; what comes of an answer renews its slack, 5 s in all; each silence in a row doubles the slack up to 1.6 s, an answer takes it back. Checked: three tests in tests/test_board.py, each fails without the change (descriptor limit, pieces, a board 1.6 s late).

--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -19,7 +19,9 @@
 from reedmount.net.loop import Loop
 
 LINGER = timedelta(milliseconds=1000)  # short, so that a board that has fallen silent is noticed
-SLACK = timedelta(milliseconds=400)  # beyond that an answer is given up
+SLACK = timedelta(milliseconds=400)  # beyond that, with nothing heard, an answer is given up
+MOST_SLACK = timedelta(milliseconds=1600)  # doubled by each silence in a row: a slow board is not silent
+LONGEST_POLL = timedelta(seconds=5)  # also for an answer that comes in ever more pieces
 RETRY = timedelta(milliseconds=100)
 CONNECT_WAIT = timedelta(milliseconds=500)
 LONGEST_ANSWER = 1 << 20
@@ -166,6 +168,8 @@
         self._polls = 0
         self._asked = False
         self._whole = False  # this poll asks for all events
+        self._slack = SLACK
+        self._asked_at = loop.clock.now()
         self._timer: Timer | None = None
         self._actor.post(Tick())
 
@@ -189,6 +193,7 @@
             case Silence(poll):
                 if poll == self._polls and self._asked:
                     COUNTERS.add("board.silent")
+                    self._slack = min(2 * self._slack, MOST_SLACK)
                     self._lose()
                     self._ask()
             case Connection():
@@ -210,10 +215,16 @@
             return
         if self._connection is None:
             self._http = h11.Connection(h11.CLIENT)
-            self._connection = Connection.dial(
-                self._loop, self._address, CONNECT_WAIT, self._actor.post,
-                lambda connection, how: self._actor.post((connection, how)),
-            )  # fmt: skip
+            try:
+                self._connection = Connection.dial(
+                    self._loop, self._address, CONNECT_WAIT, self._actor.post,
+                    lambda connection, how: self._actor.post((connection, how)),
+                )  # fmt: skip
+            except OSError as error:
+                COUNTERS.add("board.no_socket")
+                log(f"board: {error}", "board.no_socket")
+                self._loop.after(RETRY, lambda: self._actor.post(Tick()))
+                return
         after = 0 if self._whole else self._pool.last
         linger = 0 if self._whole or self._on_news is not None else LINGER // timedelta(milliseconds=1)
         target = f"/board/poll?watch={after}&linger={linger}"
@@ -223,14 +234,21 @@
         self._asked, self._status, self._body = True, 0, bytearray()
         self._polls += 1
         COUNTERS.add("board.polls")
-        poll = self._polls
+        self._asked_at = self._loop.clock.now()
+        self._wait(LINGER + self._slack)
+
+    def _wait(self, span: timedelta) -> None:
+        """How long the poll that is open may go on without a word."""
+        poll, now = self._polls, self._loop.clock.now()
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.after(LINGER + SLACK, lambda: self._actor.post(Silence(poll)))
+        latest = min(now + span, self._asked_at + LONGEST_POLL)
+        self._timer = self._loop.at(latest, lambda: self._actor.post(Silence(poll)))
 
     def _hear(self, connection: Connection) -> None:
         if connection is not self._connection:
             return
+        self._wait(self._slack)  # an answer that has begun may come in pieces
         data = connection.incoming.peek()
         connection.incoming.drop(len(data))
         try:
@@ -260,7 +278,7 @@
         if self._status != 200:
             raise BoardError(f"status {self._status}")
         last, notices = read_notices(json.loads(self._body))
-        self._asked = False
+        self._asked, self._slack = False, SLACK
         if self._whole:
             self._whole = False
             self._pool.renew(last, notices)
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 import socket
 from datetime import timedelta
 from typing import Any
@@ -10,6 +11,7 @@
 import pytest
 
 from reedmount import interface as i
+from reedmount.core.checks import COUNTERS
 from reedmount.core.ports import Listed
 from reedmount.core.switch import Switch
 from reedmount.fronts.board import Board, BoardError, Pool, read_notices
@@ -136,6 +138,56 @@
     assert stage.core.news[-1][2] == {"a": "drain"}
 
 
+def test_a_board_is_asked_again_once_there_is_a_descriptor_for_it() -> None:
+    """Idle clients had taken the last one while discovery was down: nobody asked again, for good."""
+    stage = BoardStage()
+    stage.server.close(reset=True)
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (3, before[1]))  # no new descriptor; those there go on
+    refused = COUNTERS["board.no_socket"]
+    try:
+        for _ in range(300):
+            stage.time.seconds += 0.001
+            stage.loop.turn(timedelta(0))
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+    assert 1 <= COUNTERS["board.no_socket"] - refused <= 4, "tried again, and not in every turn"
+    stage.wait(timedelta(milliseconds=150))
+    assert len(stage.asked) == 2
+    stage.answer(2, notice(2, host("a", "DRAINING")))
+    assert stage.core.news[-1][2] == {"a": "drain"}
+
+
+def test_a_list_that_comes_in_pieces_is_taken_and_one_without_an_end_is_not() -> None:
+    """A whole list that took longer than the poll and 0.4 s was given up each time, for good."""
+    stage = BoardStage()
+    body = json.dumps({"rev": 2, "notices": [notice(2, host("a", "DRAINING"))]}).encode()
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    stage.wait(timedelta(milliseconds=1000))
+    for piece in (answer[:9], answer[9:60], answer[60:90], answer[90:]):
+        stage.server.write(piece)
+        stage.wait(timedelta(milliseconds=300))
+    assert stage.core.news[-1][2] == {"a": "drain"} and len(stage.asked) == 2
+    for asked, bytes_sent in ((2, 20), (3, 5)):
+        for byte in answer[:bytes_sent]:
+            stage.server.write(bytes([byte]))
+            stage.wait(timedelta(milliseconds=200))
+        assert len(stage.asked) == asked
+
+
+def test_a_board_that_is_slow_is_waited_for_longer_each_time() -> None:
+    """One that answered half a second late was taken for a silent one each time, and drains went unheard."""
+    stage = BoardStage()
+    stage.wait(timedelta(milliseconds=1450))
+    assert len(stage.asked) == 2
+    stage.wait(timedelta(milliseconds=1600))
+    assert len(stage.asked) == 2
+    stage.answer(2, notice(2, host("a", "DRAINING")))
+    assert stage.core.news[-1][2] == {"a": "drain"}
+    stage.wait(timedelta(milliseconds=1450))
+    assert len(stage.asked) == 4, "it answers again, so its next silence is noticed as soon as the first"
+
+
 def test_an_answer_that_cannot_be_read_changes_nothing() -> None:
     stage = BoardStage()
     stage.answer(2, notice(2, host("a", "ASLEEP")))
