--- a/reedmount/config.py
+++ b/reedmount/config.py
@@ -24,6 +24,7 @@
     "allowed": {"max_attempts": 0.5},
 }
 CLASS_FIGURES: dict[str, float | None] = {"deadline": 0, "target": 0, "worth": None, "late_share": None}
+MOST_DIGITS = 15  # of microseconds: a span of 31 years
 RELEASE_MARGIN = millis(30)  # a message has its way to go, and that to another server may be shorter
 
 
@@ -46,6 +47,7 @@
     known: list[Notice]
     settings: i.Settings
     connect_wait: timedelta
+    idle_wait: timedelta | None  # a call server closes a connection that has been idle for so long
     keys: frozenset[str]  # that the file has
 
     def follows(self, old: Platform) -> Platform:
@@ -131,7 +133,8 @@
         known_last=known_last,
         known=known,
         settings=on_sockets(options),
-        connect_wait=connect_wait(options),
+        connect_wait=span_of(options, "allowed.connect_timeout") or millis(500),
+        idle_wait=span_of(options, "allowed.conn_idle"),
         keys=frozenset(keys_of({key: item for key, item in config.items() if key != "known"})),
     )
 
@@ -187,10 +190,9 @@
     return replace(plain, release_wait_us=plain.release_wait_us + span_micros(RELEASE_MARGIN))
 
 
-def connect_wait(options: list[str]) -> timedelta:
-    """How long a connection may take to come up."""
-    text = Options(options).maybe("allowed.connect_timeout")
-    try:
-        return span(int(text)) if text else millis(500)
-    except ValueError:
-        raise ConfigError(f"settings.allowed.connect_timeout: not a whole number: {text!r}") from None
+def span_of(options: list[str], key: str) -> timedelta | None:
+    """A span above 0, in microseconds; None where it is not told, or 0."""
+    text = Options(options).maybe(key)
+    if text and not (text.isascii() and text.isdecimal() and len(text) <= MOST_DIGITS):
+        raise ConfigError(f"settings.{key}: not a whole number of microseconds: {text!r}")
+    return span(int(text)) or None if text else None
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -148,6 +148,20 @@
         if call.out is not None:
             self._side.cancel(name, call.out)
 
+    def answer_all(self) -> None:
+        """The end is near: whoever still waits hears now that nothing comes of it, and may call again."""
+        for call in [call for call in self._by_number.values() if not call.gone]:
+            COUNTERS.add("answered.at_the_end")
+            name, kind = call.offer.name, self.classes[call.offer.call_class]
+            harmless = not call.attempts or kind.effect is i.Effect.REPEATABLE
+            self._inbox.post(i.CallerGone(call.number))
+            if harmless:
+                self._answer(call, "refused", lambda call: call.caller.refused(call.offer.name, ZERO))
+            else:
+                self._answer(call, "failed", lambda call: call.caller.failed(call.offer.name))
+            if call.out is not None:
+                self._side.cancel(name, call.out)
+
     def caller_released(self, name: str, cause: int) -> bool:
         """The caller ended a call that stands, or one from before our restart; False where it is unknown."""
         call = self._by_name.get(name)
@@ -343,6 +357,10 @@
         if call is None or call.gone:
             return  # its caller left while the answer was on its way
         invariant(call.out is None, "no_answer_with_an_attempt_out")
+        self._answer(call, what, answer)
+
+    def _answer(self, call: Call, what: str, answer: Callable[[Call], None]) -> None:
+        """The final answer."""
         COUNTERS.add(f"answered.{what}")
         self._look_at_the_clock(call, what)
         if self.keeper is not None:
--- a/reedmount/fronts/lane.py
+++ b/reedmount/fronts/lane.py
@@ -15,6 +15,8 @@
 from reedmount.net.loop import Loop
 from reedmount.sip.message import Message
 
+FRESH = 0.75  # of the time after which a call server closes an idle connection: until then it is used
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -76,10 +78,20 @@
     how: End
 
 
+@dataclass(slots=True)
+class Terms:
+    """What holds for all connections to call servers; a reload changes it in place."""
+
+    connect_wait: timedelta  # for one to come up
+    idle_wait: timedelta | None = None  # a call server closes one that was not used for so long
+    most: int | None = None  # connections in all, beyond one to each call server
+
+
 class Owner(Protocol):
     """The actor whose lane it is."""
 
     loop: Loop
+    terms: Terms
 
     @property
     def address(self) -> Address:
@@ -95,15 +107,16 @@
     What spoils one answer, noise, a wrong length, an end amid it, spoils all that is open on its connection.
     """
 
-    def __init__(self, server: Owner, connect_wait: timedelta) -> None:
+    def __init__(self, server: Owner) -> None:
         self.outbox: deque[Outgoing] = deque()
         self.attempts: dict[str, Attempt] = {}  # queued or sent here
         self.answered: deque[str] = deque(maxlen=16)  # a second copy may follow
         self.partial = False  # a message has begun and not ended, and is looked after
         self.writing: Callable[[], None] | None = None
-        self._clock = server.loop.clock
+        self._clock, self._terms = server.loop.clock, server.terms
+        self._used_at = self._clock.now()  # when a message other than unasked news went here or came
         self.connection = Connection.dial(
-            server.loop, server.address, connect_wait,
+            server.loop, server.address, server.terms.connect_wait,
             lambda _: server.post(Data(self)),
             lambda _, how: server.post(Down(self, how)),
             lambda _: server.post(Up(self)),
@@ -114,6 +127,16 @@
         """Whether it is up and nothing is open or waits on it."""
         return self.connection.up and not self.attempts and not self.outbox
 
+    @property
+    def stale(self) -> bool:
+        """Whether its call server may close it before what would be sent now is there: that would be lost."""
+        idle = self._terms.idle_wait
+        return idle is not None and self.free and self._clock.now() - self._used_at > idle * FRESH
+
+    def used(self) -> None:
+        """A message of a call has come."""
+        self._used_at = self._clock.now()
+
     def queue(self, item: Outgoing, first: bool = False) -> None:
         """Put it in line; a message begins to be written only once those before it are wholly out."""
         if first:
@@ -128,6 +151,7 @@
             item = self.outbox.popleft()
             COUNTERS.add(item.counter)
             self.writing = item.written or (lambda: None)
+            self.used()
             if item.attempt is not None:
                 item.attempt.sent_at = self._clock.now()
             self.connection.send(item.data)
--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -11,7 +11,7 @@
 from reedmount.core.clock import ZERO, whole_millis
 from reedmount.core.ports import CUT, CancelSetup, Listed, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
-from reedmount.fronts.lane import Attempt, Data, Down, Lane, Outgoing, Up
+from reedmount.fronts.lane import Attempt, Data, Down, Lane, Outgoing, Terms, Up
 from reedmount.fronts.thin import CAUSES, ID, OUTCOMES, bye, cause_of, plain, report_of, sound
 from reedmount.net.connection import Address, End
 from reedmount.net.loop import Loop
@@ -36,10 +36,10 @@
     """The actor of one call server: its lanes, what is queued for it and what is out there."""
 
     def __init__(
-        self, loop: Loop, switch: Switch, entry: Listed, connect_wait: timedelta, lanes: int = LANES
+        self, loop: Loop, switch: Switch, entry: Listed, side: CallServers, lanes: int = LANES
     ) -> None:
         self.loop, self._switch, self._entry = loop, switch, entry
-        self._connect_wait = connect_wait
+        self._side, self.terms = side, side.terms
         self._actor: Actor[Word] = Actor(loop, self._handle)
         self.post = self._actor.post
         self._lanes: list[Lane] = []
@@ -60,6 +60,11 @@
         """Where it listens."""
         return self._entry.address
 
+    @property
+    def connections(self) -> int:
+        """How many descriptors it holds."""
+        return len(self._lanes) + len(self._retired)
+
     def _handle(self, word: Word) -> None:
         match word:
             case Setup():
@@ -131,11 +136,13 @@
     def _place(self, item: Outgoing, attempt: Attempt) -> None:
         """Give a set-up a lane: a free one, else a new one, else the one with the fewest open."""
         name = attempt.setup.name
+        for stale in [lane for lane in self._lanes if lane.stale]:
+            self._retire(stale)
         able = [lane for lane in self._lanes if name not in lane.answered]
         free = (lane for lane in able if lane.free)
         lane = max(free, key=lambda lane: lane.connection.heard_at, default=None)
         if lane is None and len(self._lanes) < self._room + (not able):
-            lane = self._dial()
+            lane = self._dial() if not able or self._side.may_widen() else None
         if lane is None:
             lane = min(able, key=lambda lane: (not lane.connection.up, len(lane.attempts)), default=None)
         if lane is None:
@@ -244,9 +251,10 @@
 
     def _say(self, item: Outgoing, lane: Lane | None = None) -> None:
         """Send what concerns a call that stands on its lane, else on any."""
-        if lane is None or lane not in self._lanes:
-            up = [lane for lane in self._lanes if lane.connection.up]
-            lane = min(up or self._lanes, key=lambda lane: len(lane.attempts), default=None)
+        if lane is None or lane not in self._lanes or lane.stale:
+            up = [lane for lane in self._lanes if lane.connection.up and not lane.stale]
+            able = up or [lane for lane in self._lanes if not lane.stale]
+            lane = min(able, key=lambda lane: len(lane.attempts), default=None)
         if lane is None and not self._retrying:
             lane = self._dial()
         if lane is not None:
@@ -261,7 +269,7 @@
             return None
         COUNTERS.add("server.connects")
         try:
-            lane = Lane(self, self._connect_wait)
+            lane = Lane(self)
         except OSError as error:
             COUNTERS.add("server.no_socket")
             log(f"{self._entry.server}: {error}")
@@ -305,14 +313,14 @@
         if never or brief:
             if not self._lanes and (self._standing or self._late_byes):
                 self._connect_later()
-        elif known or how is not End.CLOSED:
-            self._renew()
+        elif how is not End.CLOSED or known and not self._lanes:
+            self._renew()  # of several that were idle for too long, those closed are not opened again
 
     def _renew(self) -> None:
         """Releases that were on their way on a connection that broke come again on the next that opens."""
         if not (self._entry.serving or self._standing or self._late_byes):
             return
-        if len(self._lanes) >= self._room:
+        if len(self._lanes) >= self._room or self._lanes and not self._side.may_widen():
             spare = next((lane for lane in self._lanes if lane.free), None)
             if spare is None:
                 return
@@ -424,6 +432,7 @@
         if message.status < 300 and not sound(message.body):
             raise SipError(400, "a description that is not lines of text")
         lane.answered.append(name)
+        lane.used()
         lane.connection.send(plain("ACK", attempt.uri, name))
         if attempt.sent_at is not None:
             self._answered_sent_at = max(attempt.sent_at, self._answered_sent_at or attempt.sent_at)
@@ -467,10 +476,10 @@
     """The server side on the platform: it keeps an actor for each call server listed."""
 
     def __init__(
-        self, loop: Loop, switch: Switch, connect_wait: timedelta, sockets: int = LANES * LANES
+        self, loop: Loop, switch: Switch, terms: Terms, sockets: int = LANES * LANES
     ) -> None:
         self._loop, self._switch = loop, switch
-        self.connect_wait, self.sockets = connect_wait, sockets
+        self.terms, self.sockets = terms, sockets
         self._peers: dict[str, CallServer] = {}
 
     def listed(self, entries: list[Listed]) -> None:
@@ -482,11 +491,19 @@
             elif not entry.removed:
                 lanes = max(1, min(LANES, self.sockets // (len(self._peers) + 2)))
                 self._peers[entry.server] = CallServer(
-                    self._loop, self._switch, entry, self.connect_wait, lanes
+                    self._loop, self._switch, entry, self, lanes
                 )
             if entry.removed:
                 self._peers.pop(entry.server, None)
 
+    def may_widen(self) -> bool:
+        """Whether a call server that has a connection may have one more."""
+        most = self.terms.most
+        if most is None or sum(peer.connections for peer in self._peers.values()) < most:
+            return True
+        COUNTERS.add("server.no_room")
+        return False
+
     def send(self, setup: Setup) -> None:
         """A set-up to a server that is not on the list is not sent."""
         peer = self._peers.get(setup.server)
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -33,6 +33,7 @@
 FIRST_ANSWER = timedelta(milliseconds=2200)  # with nothing open: what was sent until then is owed no answer
 IDLE = timedelta(seconds=5)  # callers close after 4 s without a call
 ANSWERED_BY = timedelta(milliseconds=3300)  # after SIGTERM or the begin of a drain: all is answered
+LAST_WORD = timedelta(milliseconds=3600)  # after SIGTERM: so long at most a message on its way is waited for
 STILL_USED = timedelta(milliseconds=600)  # in a drain: so long clients have not heard of it
 SETTLED = timedelta(milliseconds=30)  # with nothing open and nothing said, until a drain closes a connection
 DRAIN_LATE = timedelta(milliseconds=2000)  # in a drain: from then on at the first moment with nothing open
@@ -44,6 +45,7 @@
 RELAYED = 16  # releases of unknown calls passed on to all servers, for each span of this length
 RELAY_SPAN = timedelta(milliseconds=250)
 UNWATCHED = 6  # descriptors of a process that its loop does not hear of
+SPARE = 8  # descriptors that nobody holds: what is dialled or accepted next
 LEAST_ROOM = 8  # connections, however many the other process of an upgrade holds
 REFUSED, FAILED = 503, 500
 TEST_FAILED = 503
@@ -116,6 +118,8 @@
         """Pass the answer on."""
         invite = self.open.pop(name, None)
         if invite is None or self.connection.ended:
+            # Its caller left in this very turn: nobody is there to talk to.
+            self._callers.loop.soon(lambda: self._end_unheard(name))
             return
         self._unacked[name] = invite
         self.standing.add(name)
@@ -195,7 +199,7 @@
             return now - self.part_since > (LATER_WORD if self.proven else FIRST_WORD)
         if not self.told:
             return age > FIRST_ANSWER
-        return not self.standing and silence > IDLE
+        return not self.standing and silence > IDLE and not self.connection.unread
 
     def claim(self, now: datetime) -> tuple[Claim, datetime]:
         """How much of a claim it has to its place when room runs out; the later heard, the more."""
@@ -222,6 +226,13 @@
         quiet = not self._unacked and now - max(self.connection.heard_at, self.told_at) > SETTLED
         return quiet or now - since > DRAIN_LATE
 
+    def unfinished(self, now: datetime) -> bool:
+        """Whether a message is on its way in, or an answer waits here for the system to take it."""
+        if self.connection.ended:
+            return False
+        coming = self.part_since is not None and now - self.connection.heard_at <= STALLED
+        return coming or not self.connection.idle
+
     def fitness(self, host: str) -> tuple[bool, bool, datetime]:
         """How well it serves for the release of a call whose own connection, from that host, is gone."""
         return self.proven, self.host == host, self.connection.heard_at
@@ -271,6 +282,9 @@
             self._write(response(message, error.status).encode(), "out.bad_request")
             self._strike()
             return
+        if self.connection.left:
+            COUNTERS.add("in.left")  # its caller has closed since it sent this: nothing is owed any more
+            return
         self.set_ups += 1
         if len(self.open) >= (MOST_OPEN if self.proven else UNPROVEN_OPEN):
             COUNTERS.add("in.too_many_open")
@@ -316,6 +330,10 @@
             return False
         return True
 
+    def _end_unheard(self, name: str) -> None:
+        COUNTERS.add("released.unheard")
+        self._switch.caller_released(name, NORMAL)
+
     def _end_crossed(self, name: str) -> None:
         if name in self._cancelled and self._unacked.pop(name, None) is not None:
             COUNTERS.add("released.crossed")
@@ -358,14 +376,16 @@
     """All callers' connections."""
 
     def __init__(
-        self, loop: Loop, switch: Switch, address: Address, most: int, given: socket.socket | None = None
-    ) -> None:
+        self, loop: Loop, switch: Switch, address: Address, most: int, given: socket.socket | None = None,
+        descriptors: int = 1024,
+    ) -> None:  # fmt: skip
         self.loop, self.switch = loop, switch
         self.twin = Twin(loop)
         self._held_there = 0  # descriptors of the other process
         self.reserve = 0  # descriptors that a successor needs before it is ready
         self._relayed, self._relayed_since = 0, loop.clock.now()
         self.most = most  # connections
+        self.descriptors = descriptors  # of the process
         self._links: dict[Link, None] = {}
         self.homes: dict[str, Link] = {}  # where calls that stand were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
@@ -438,8 +458,14 @@
 
     @property
     def room(self) -> int:
-        """How many connections there may be, with those of another process taken into account."""
-        return max(min(LEAST_ROOM, self.most), self.most - self._held_there - self.reserve)
+        """How many connections there may be, with those of another process taken into account.
+
+        What the rest of this process holds (a crowd of connections to call servers that broke) goes first:
+        the notice board would have no descriptor left to be asked with.
+        """
+        others = self.loop.watched - len(self._links) + UNWATCHED + SPARE
+        most = min(self.most, self.descriptors - others)
+        return max(min(LEAST_ROOM, self.most), most - self._held_there - self.reserve)
 
     def _orphan(self, name: str, cause: int) -> None:
         """A server released a call that is not known here: the other process may know it."""
@@ -448,9 +474,16 @@
 
     @property
     def quiet(self) -> bool:
-        """Whether nothing waits to be told to a caller, and none uses what another process should serve."""
+        """Whether nothing is on its way from or to a caller, and none uses what another should serve."""
         used = self.handed_over and any(link.heard for link in self._links)
-        return not self._waiting and not used
+        return not self._waiting and not used and not self._unfinished
+
+    @property
+    def _unfinished(self) -> bool:
+        """Whether to wait for a message or an answer; no longer than the end may take."""
+        now, since = self.loop.clock.now(), self.switch.lifecycle.leaving_since
+        over = since is not None and now - since > LAST_WORD
+        return not over and any(link.unfinished(now) for link in self._links)
 
     def release(self, name: str, cause: int, link: Link | None, here: bool = False) -> None:
         """Tell callers that a call is over: on its connection, another that has set up calls, or the next.
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -10,7 +10,7 @@
 
 from reedmount.core.actors import Timer
 from reedmount.core.checks import log
-from reedmount.net.loop import READ, WRITE, Loop
+from reedmount.net.loop import GONE, READ, WRITE, Loop
 from reedmount.net.ring import Ring
 
 CHUNK = 65536
@@ -57,6 +57,7 @@
         self.incoming = Ring(IN_BOUND)
         self.up = True
         self.ended = False
+        self.left = False  # the peer sends no more, though what it sent before may not all be read yet
         self.opened_at: datetime = loop.clock.now()
         self.heard_at: datetime = self.opened_at
         self._outgoing = Ring(OUT_BOUND)
@@ -167,7 +168,7 @@
             self.close()
 
     def _watch(self) -> None:
-        wanted = READ if self.up and not self._outgoing else READ | WRITE
+        wanted = READ | GONE if self.up and not self._outgoing else READ | WRITE | GONE
         if wanted != self._watched:
             self._watched = wanted
             self._loop.watch(self._sock.fileno(), wanted, self._ready, self._urgent)
@@ -188,6 +189,7 @@
                 self._flush()
         elif events & WRITE and not self.ended:
             self._flush()
+        self.left = self.left or bool(events & GONE)
         if not self.ended and events & ~WRITE:
             self._read()
 
--- a/reedmount/net/loop.py
+++ b/reedmount/net/loop.py
@@ -11,7 +11,7 @@
 from reedmount.core.background import Background
 from reedmount.core.clock import ZERO, Clock
 
-READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+READ, WRITE, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 LONGEST_WAIT = timedelta(seconds=1)
 STRETCH = 32  # pieces of work, until urgent descriptors are looked at again
 
--- a/reedmount/node.py
+++ b/reedmount/node.py
@@ -15,8 +15,9 @@
 from reedmount.core.switch import Switch
 from reedmount.fronts.admin import DOOR_SOCKETS, Door, View
 from reedmount.fronts.board import Board, Pool
+from reedmount.fronts.lane import Terms
 from reedmount.fronts.lanes import CallServers
-from reedmount.fronts.platform import Callers
+from reedmount.fronts.platform import ANSWERED_BY, Callers
 from reedmount.fronts.twin import Heirs, Word, ask
 from reedmount.net.connection import Address, text_of
 from reedmount.net.loop import Loop
@@ -50,7 +51,8 @@
         config = read()
         made = cls(loop, config.settings, config.seed)
         lanes = min(LANE_SOCKETS, config.sockets // 4)
-        servers = CallServers(loop, made.switch, config.connect_wait, lanes)
+        terms = Terms(config.connect_wait, config.idle_wait, config.sockets // 2)
+        servers = CallServers(loop, made.switch, terms, lanes)
         made.switch.attach(servers)
         pool = Pool(made.switch)
         found = ask(config.handover, config.listen) if config.handover is not None else None
@@ -58,7 +60,10 @@
             made._lifecycle.also(Need.NEWS)  # until now another process heard of it
         pool.start(config.known_last, config.known)
         given, predecessor = found or (None, None)
-        callers = made._callers = Callers(loop, made.switch, config.listen, room_for_callers(config), given)
+        callers = made._callers = Callers(
+            loop, made.switch, config.listen, room_for_callers(config), given, config.sockets
+        )
+        made.on_end(made._answer_in_time)
         if predecessor is not None:
             made._succeed(callers, predecessor)
         made.open_door(config.control)
@@ -72,8 +77,9 @@
             nonlocal config
             old, config = config, read().follows(config)
             made.settle(config.settings)
-            servers.connect_wait = config.connect_wait
-            callers.most = room_for_callers(config)
+            terms.connect_wait, terms.idle_wait = config.connect_wait, config.idle_wait
+            terms.most = config.sockets // 2
+            callers.most, callers.descriptors = room_for_callers(config), config.sockets
             pool.take(config.known_last, config.known)
             if config.board != old.board:
                 board.move(config.board)
@@ -139,6 +145,10 @@
 
         self._lifecycle.on_change(changed)
 
+    def _answer_in_time(self) -> None:
+        """What was taken before the end began may be owed an answer later than there is time for."""
+        self._loop.after(ANSWERED_BY, self.switch.answer_all)
+
     def _hand(self, to_another: bool) -> None:
         for tell in self._handed:
             tell(to_another)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,284 @@
+"""What crosses what: closes, cancels, signals and reloads while something else is on its way.
+
+Each crossing is forced: the bytes lie in the sockets, or a descriptor is missing, before the loop's turn.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import tomllib
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from reedmount.core.checks import COUNTERS
+from reedmount.core.clock import ZERO
+from reedmount.core.ports import Setup
+from reedmount.fronts.platform import ANSWERED_BY
+from reedmount.net.connection import Connection, End
+from reedmount.net.loop import Loop
+from tests.scenario import HOST, VirtualTime, digits
+from tests.test_board import notice
+from tests.test_config import ROOT, platform
+from tests.test_platform import ANOTHER, SETUP, STANDS, Platform
+from tests.test_start import line, started
+
+PLAIN = (b"INVITE sip:00000000000000a7@net SIP/2.0\r\nCall-ID: 00000000000000b1\r\nCSeq: 1 INVITE\r\n"
+         b"X-Cos: plain\r\nX-Timer-Ms: 1000\r\nContent-Length: 0\r\n\r\n")  # fmt: skip
+
+
+# --- the client leaves ---
+
+
+def test_a_set_up_whose_client_closed_before_it_was_read_is_not_sent_on() -> None:
+    """Both lay in the socket: the set-up was read first and sent, the close came to light a turn later."""
+    stage = Platform("server")
+    caller = stage.peers["caller"]
+    caller.write(caller.request("INVITE", "c1", {"x-cos": "small", "x-timer-ms": "2000"}, b"").encode())
+    caller.close(reset=False)
+    sent = COUNTERS["attempts.sent"]
+    stage.play("wait 300\n server expect nothing")
+    assert COUNTERS["attempts.sent"] == sent and stage.switch.quiet
+
+
+@pytest.mark.parametrize("leaves", ["caller close", "caller close reset", "caller send CANCEL c1"])
+def test_a_call_that_waits_for_a_connection_is_not_sent_once_its_client_has_gone(leaves: str) -> None:
+    """The connection comes up late: what was queued for it is taken back, whichever way the client left."""
+    stage = Platform("server")
+    stage.play("server close reset")
+    stage.peers["server"].stop()  # its backlog takes nobody: connections come up once this is over
+    full = socket.socket()
+    full.bind((HOST, 0))
+    full.listen(0)
+    filling = [socket.socket() for _ in range(4)]
+    for sock in filling:
+        sock.setblocking(False)
+        sock.connect_ex(full.getsockname())
+    stage.tell("server", port=full.getsockname()[1])
+    stage.play(f"wait 20\n caller send {SETUP}\n wait 100")
+    assert stage.switch.unanswered == 1
+    stage.play(leaves + "\n wait 5")
+    assert stage.switch.quiet
+    heard = []
+    for _ in range(20):
+        stage.wait(timedelta(milliseconds=50))
+        full.settimeout(0)
+        try:
+            sock, _ = full.accept()
+            sock.settimeout(0.01)
+            heard.append(sock.recv(4096))
+        except (BlockingIOError, TimeoutError):
+            continue
+    assert b"INVITE" not in b"".join(heard)
+    for sock in (full, *filling):
+        sock.close()
+
+
+@pytest.mark.parametrize("leaves", ["caller close", "caller close reset", "caller send CANCEL c1"])
+def test_a_further_attempt_does_not_begin_after_its_client_has_gone(leaves: str) -> None:
+    """It waits for the pause after the first one when the client leaves."""
+    stage = Platform("server", "second")
+    stage.play(f"caller send {SETUP}\n server expect INVITE c1\n server send 504 INVITE")
+    stage.play(f"server expect ACK c1\n wait 150\n {leaves}\n wait 400")
+    stage.play("second expect nothing\n server expect nothing")
+    assert stage.switch.quiet
+
+
+def test_an_answer_that_crosses_the_client_s_close_is_released_at_its_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nobody had the call, and it kept its line until its server ended it."""
+    stage = Platform("server")
+    stage.play(f"caller send {SETUP}\n server expect INVITE c1")
+    link, stands = next(iter(stage.callers._links)), stage.switch.stands
+
+    def close_first(name: str, attempt: int, description: bytes) -> bool:
+        link.connection.close(End.RESET)  # seen between the answer's coming and its passing on
+        return stands(name, attempt, description)
+
+    monkeypatch.setattr(stage.switch, "stands", close_first)
+    stage.play("server send 200 INVITE c1 | there\n server expect ACK c1\n server expect BYE c1")
+    assert stage.switch.quiet
+
+
+def test_a_set_up_that_lies_unread_keeps_its_connection_from_being_closed_as_idle() -> None:
+    """It had come whole: the close was a reset, and the request was lost with no word."""
+    stage = Platform("server")
+    stage.play("caller send OPTIONS t\n caller expect 200 t")
+    link = next(iter(stage.callers._links))
+    stage.time.seconds += 6
+    now = stage.loop.clock.now()
+    assert link.overdue(now)
+    caller = stage.peers["caller"]
+    caller.write(caller.request("INVITE", "c1", {"x-cos": "small", "x-timer-ms": "2000"}, b"").encode())
+    assert not link.overdue(now)
+
+
+# --- call servers close, come up late, hang ---
+
+
+def test_a_connection_near_its_server_s_idle_close_is_used_no_more() -> None:
+    """The close crossed the next set-up: it was reset, and the call waited 200 ms or failed for good."""
+    stage = Platform("server")
+    stage.terms.idle_wait = timedelta(seconds=2)
+    stage.play(STANDS + "wait 1400\n" + ANOTHER)
+    server = stage.peers["server"]
+    first, second = (server.came[id(heard)] for heard in server.heard if heard.method == "INVITE")
+    assert first is second, "well before that it is used"
+    stage.play("""
+        wait 1600
+        other send INVITE u x-cos=small x-timer-ms=2000
+        server expect INVITE u
+        server send 200 INVITE u
+        server expect ACK u
+        other expect 200 u
+    """)
+    assert server.came[id(server.heard[-2])] is not second
+    stage.play("wait 1600\n server expect nothing\n caller send BYE c1\n caller expect 200 c1")
+    stage.play("server expect BYE c1")
+
+
+def test_a_release_does_not_go_where_its_server_may_have_closed() -> None:
+    """Written to a connection that the call server was closing, it was lost: the call stood on there."""
+    stage = Platform("server")
+    stage.terms.idle_wait = timedelta(seconds=2)
+    stage.play(STANDS + "wait 1600\n caller send BYE c1\n caller expect 200 c1\n server expect BYE c1")
+    server = stage.peers["server"]
+    assert server.came[id(server.heard[-1])] is not server.came[id(server.heard[0])]
+
+
+def test_several_connections_closed_as_idle_are_not_all_opened_again() -> None:
+    """Each was dialled anew: a fleet's quiet hours cost a connection a server, instance and idle time."""
+    stage = Platform("server")
+    stage.play(f"caller send {SETUP}\n server expect INVITE c1\n other send {SETUP.replace('c1', 'c2')}")
+    stage.play("server expect INVITE c2\n server send 503 INVITE c1\n server send 503 INVITE c2\n wait 200")
+    before = COUNTERS["server.connects"]
+    stage.play("server close\n wait 50")
+    assert COUNTERS["server.connects"] - before == 1
+
+
+def test_connections_to_servers_have_a_bound_in_all_and_each_server_has_one() -> None:
+    stage = Platform("server")
+    stage.terms.most = 2
+    for name in ("c1", "c2", "c3", "c4"):
+        stage.side.send(Setup(digits(name), 0, "server", "small", "47", timedelta(seconds=9), b""))
+        stage.play(f"server expect INVITE {name}")
+    assert stage.side._peers["server"].connections == 2
+    stage.peer("second", "thin")
+    stage.tell("server", "second")
+    assert stage.side._peers["second"].connections == 1
+
+
+def test_callers_make_room_for_what_else_needs_descriptors() -> None:
+    """Connections to servers that broke, and idle callers up to their own bound, left none for the board."""
+    stage = Platform("server")
+    stage.play("caller send OPTIONS t\n caller expect 200 t\n other send OPTIONS t\n other expect 200 t")
+    crowd = [stage.peer(f"p{n}", "thin", stage.callers.address) for n in range(9)]
+    for peer in crowd:
+        peer.write(peer.request("OPTIONS", "t", {}, b"").encode())
+    stage.settle()
+    assert len(stage.callers._links) == 11
+    stage.callers.descriptors = stage.loop.watched + 14  # what it does not hear of, and a few to spare
+    stage.peer("second", "thin")
+    stage.tell("server", "second")  # one more connection
+    late = stage.peer("late", "thin", stage.callers.address)
+    late.write(late.request("OPTIONS", "t", {}, b"").encode())
+    stage.settle()
+    assert len(stage.callers._links) == 10
+
+
+# --- the end ---
+
+
+def test_at_the_end_whoever_still_waits_is_answered() -> None:
+    """A call with nine seconds to go when the end began found its process killed, and heard nothing."""
+    stage = Platform("server")
+    stage.play("""
+        caller send INVITE c1 x-cos=small x-timer-ms=9000
+        server expect INVITE c1
+        caller send INVITE c2 x-cos=once x-timer-ms=9000
+        server expect INVITE c2
+    """)
+    stage.switch.lifecycle.end()
+    stage.loop.after(ANSWERED_BY, stage.switch.answer_all)
+    stage.play("wait 3250\n caller expect nothing\n wait 100\n caller expect 503 c1\n caller expect 500 c2")
+    stage.play("server expect CANCEL\n server expect CANCEL\n wait 400\n server expect nothing")
+    assert stage.switch.quiet
+
+
+def test_a_request_of_which_half_has_come_at_sigterm_is_answered(tmp_path: Path) -> None:
+    """The process ended 1.5 s after the signal, amid a request that came in pieces."""
+    platform(tmp_path, known={"rev": 1, "notices": [notice(1, whole=True)]})
+    with started(GW_CONFIG=str(tmp_path / "config.json"), GW_LISTEN=f"{HOST}:0") as process:
+        port = int(line(process).rpartition(":")[2])
+        with socket.create_connection((HOST, port)) as caller:
+            caller.sendall(PLAIN[:20])
+            process.send_signal(signal.SIGTERM)
+            assert line(process).startswith("stopping")
+            caller.settimeout(0.3)
+            for byte in PLAIN[20:27]:  # past the time in which requests still come
+                with pytest.raises(TimeoutError):
+                    caller.recv(1)
+                caller.sendall(bytes([byte]))
+            caller.sendall(PLAIN[27:])
+            caller.settimeout(10)
+            assert caller.recv(4096).startswith(b"SIP/2.0 503 ")
+        assert process.wait(20) == 0
+
+
+def test_an_answer_that_the_system_does_not_take_yet_is_waited_for_at_the_end() -> None:
+    """A client that reads late found its answers cut off by the end of the process."""
+    stage = Platform("server")
+    stage.play("caller send OPTIONS t\n caller expect 200 t")
+    link = next(iter(stage.callers._links))
+    stage.switch.lifecycle.end()
+    assert stage.callers.quiet
+    while link.connection.idle:
+        link.connection.send(b"x" * 65536)
+    assert not stage.callers.quiet
+    stage.time.seconds += 4
+    assert stage.callers.quiet, "no longer than there is time"
+
+
+def test_sighup_before_the_program_can_read_it_ends_nothing(tmp_path: Path) -> None:
+    """It fell into the first tenth of a second, in which there is no handler, and ended the process."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    platform(tmp_path, known={"rev": 1, "notices": [notice(1, whole=True)]})
+    env = {"GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"{HOST}:0", "PATH": "/usr/bin:/bin"}
+    # The shell itself is ready when it reads what follows; the program is not, for a while.
+    shell = subprocess.Popen(
+        ["/bin/sh", "-c", f"read go; {run}"], cwd=ROOT, env=env, stdin=subprocess.PIPE, stderr=subprocess.PIPE
+    )
+    assert shell.stdin is not None and shell.stderr is not None
+    shell.stdin.write(b"go\n")
+    shell.stdin.close()
+    while "python" not in os.readlink(f"/proc/{shell.pid}/exe"):
+        pass
+    shell.send_signal(signal.SIGHUP)
+    said = shell.stderr.readline()
+    shell.kill()
+    shell.wait()
+    shell.stderr.close()
+    assert b" serves at " in said
+
+
+def test_a_close_in_the_turn_of_the_last_bytes_is_known_when_these_are_read() -> None:
+    """Whoever takes the bytes can ask whether their sender is still there."""
+    with socket.create_server((HOST, 0)) as server:
+        far = socket.create_connection(server.getsockname())
+        near, _ = server.accept()
+    left: list[bool] = []
+    loop = Loop(VirtualTime().clock)
+    made = Connection(loop, near, lambda connection: left.append(connection.left), lambda *_: None)
+    far.sendall(b"one")
+    loop.turn(ZERO)
+    far.sendall(b"two")
+    far.close()
+    loop.turn(ZERO)
+    assert left == [False, True]
+    made.close()
+    loop.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 from reedmount.core.checks import COUNTERS
 from reedmount.core.ports import Listed, Setup
 from reedmount.core.switch import Switch
+from reedmount.fronts.lane import Terms
 from reedmount.fronts.lanes import CallServers
 from reedmount.fronts.platform import Callers
 from reedmount.sip.message import response
@@ -43,7 +44,8 @@
         super().__init__()
         settings = replace(SETTINGS, release_wait_us=200_000, redials_marked=False, **changes)  # type: ignore[arg-type]
         self.switch = Switch(self.loop, settings, 1)
-        self.side = CallServers(self.loop, self.switch, timedelta(milliseconds=500), 2 * lanes)
+        self.terms = Terms(timedelta(milliseconds=500))
+        self.side = CallServers(self.loop, self.switch, self.terms, 2 * lanes)
         self.switch.attach(self.side)
         self.callers = Callers(self.loop, self.switch, (HOST, 0), 16)
         for name in ("caller", "other"):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -20,6 +20,7 @@
 from reedmount.core.ports import Listed
 from reedmount.core.switch import Switch
 from reedmount.fronts.board import Board, Pool
+from reedmount.fronts.lane import Terms
 from reedmount.fronts.lanes import CallServers
 from reedmount.fronts.platform import Callers
 from reedmount.fronts.twin import FILE, Heirs, ask
@@ -37,7 +38,7 @@
     def __init__(self) -> None:
         super().__init__("server")
         self.heir = Switch(self.loop, self.switch.settings, 2)
-        self.heir.attach(CallServers(self.loop, self.heir, timedelta(milliseconds=500), 16))
+        self.heir.attach(CallServers(self.loop, self.heir, Terms(timedelta(milliseconds=500)), 16))
         self.new = Callers(self.loop, self.heir, (HOST, 0), 100, bind((HOST, 0)))
         near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         self.callers.twin.join(near)
