Dial until a lost release can come again; a release before its answer ends the attempt

Ruled out: a busy instance, the caller's side (unheard releases go another way), retired connections (they stay while calls stand). Checked: three tests in tests/test_crossings.py, each fails without the change.

--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -228,9 +228,14 @@
         if call.gone:
             self._drop(call)
 
-    def server_released(self, name: str, cause: int, report: i.LoadReport = NO_REPORT) -> bool:
-        """The server says that a call is over; False where it is not known here."""
+    def server_released(
+        self, name: str, cause: int, report: i.LoadReport = NO_REPORT, server: str | None = None
+    ) -> bool:
+        """The server says that a call is over; False where it is not known here, or stands at another."""
         call = self._by_name.get(name)
+        if call is not None and call.standing and server not in (None, call.server):
+            COUNTERS.add("released.elsewhere")
+            return False
         if call is None or not call.standing:
             if call is None and name not in self._over:
                 # From before our restart: the front finds its caller.
--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -23,6 +23,7 @@
 RETIRED_FOR = timedelta(milliseconds=1500)  # a lane that is used no more still hears what was on its way
 SPARE_AFTER = timedelta(seconds=10)  # a lane of a crowded server is tried again
 FIRST_RETRY, LAST_RETRY = timedelta(milliseconds=100), timedelta(seconds=1)
+RENEWALS = 8  # tries at a connection after one that broke: some 5 s
 MOVES = 2  # how often a set-up that was not sent goes to another lane
 LANES = 8
 KEPT_PAST = 1024  # names of attempts that were given up, for each server
@@ -52,6 +53,8 @@
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
         self._retry = FIRST_RETRY
         self._retrying = False
+        self._owed: datetime | None = None  # since a connection broke on which a release may have been
+        self._renewing, self._renewals = False, 0
         if entry.serving:
             self._dial()  # a state of its lines, and releases from before a restart, come first on it
 
@@ -282,6 +285,12 @@
 
     def _up(self, lane: Lane) -> None:
         self._retry = FIRST_RETRY
+        if self._owed is not None and lane.connection.opened_at >= self._owed:
+            self._owed = None
+        if len(self._lanes) > self._room:
+            spare = next((other for other in self._lanes if other.free and other is not lane), None)
+            if spare is not None:
+                self._retire(spare)
         if lane.connection.idle:
             lane.finish_write()
             lane.pump()
@@ -311,21 +320,39 @@
             self._end(attempt, i.Outcome.RESET)
         self._unload(lane, never and not others)
         if never or brief:
+            if brief and self._standing:
+                self._owed = self.loop.clock.now()
             if not self._lanes and (self._standing or self._late_byes):
                 self._connect_later()
+            elif self._owed is not None:
+                self._renew_later()
         elif how is not End.CLOSED or known and not self._lanes:
+            self._owed, self._renewals = self.loop.clock.now() if self._standing else None, 0
             self._renew()  # of several that were idle for too long, those closed are not opened again
 
     def _renew(self) -> None:
-        """Releases that were on their way on a connection that broke come again on the next that opens."""
+        """Releases that were on their way on a connection that broke come again on the next that opens.
+
+        That one may come up late, or never, or break as well: there is another until one has lived.
+        """
         if not (self._entry.serving or self._standing or self._late_byes):
             return
-        if len(self._lanes) >= self._room or self._lanes and not self._side.may_widen():
-            spare = next((lane for lane in self._lanes if lane.free), None)
-            if spare is None:
-                return
-            self._retire(spare)
-        self._dial()
+        if len(self._lanes) > self._room or self._lanes and not self._side.may_widen():
+            self._renew_later()
+        else:
+            self._dial()
+
+    def _renew_later(self) -> None:
+        if not self._renewing and self._renewals < RENEWALS:
+            self._renewing = True
+            self._renewals += 1
+            self.loop.after(self._retry, self._renew_again)
+            self._retry = min(2 * self._retry, LAST_RETRY)
+
+    def _renew_again(self) -> None:
+        self._renewing = False
+        if self._owed is not None:
+            self._renew()
 
     def _unload(self, lane: Lane, unreachable: bool = False) -> None:
         """Take what waits on a lane that is no more to another; a refused connection proves that none ran."""
@@ -417,11 +444,21 @@
         elif message.method == "BYE":
             lane.connection.send(response(message, 200).encode())
             if ID.fullmatch(message.call_id):
-                self._standing.pop(message.call_id, None)
-                self._switch.server_released(message.call_id, cause_of(message), report_of(message))
+                self._over(message)
         elif message.method != "ACK":
             lane.connection.send(response(message, 501).encode())
 
+    def _over(self, message: Message) -> None:
+        """A call is over here. Its answer may come yet, delayed: nobody must have that call then."""
+        name, server = message.call_id, self._entry.server
+        self._standing.pop(name, None)
+        attempt = self._attempts.get(name)
+        if attempt is not None and attempt.sent_at is not None and name not in self._past:
+            COUNTERS.add("released.before_answer")  # no attempt was given up here that it is of
+            self._end(attempt, i.Outcome.RESET)
+        else:
+            self._switch.server_released(name, cause_of(message), report_of(message), server)
+
     def _answer(self, lane: Lane, message: Message) -> None:
         name = message.call_id
         attempt = self._attempts.get(name)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,6 +21,7 @@
 from reedmount.fronts.platform import ANSWERED_BY
 from reedmount.net.connection import Connection, End
 from reedmount.net.loop import Loop
+from reedmount.sip.message import response
 from tests.scenario import HOST, VirtualTime, digits
 from tests.test_board import notice
 from tests.test_config import ROOT, platform
@@ -191,6 +192,83 @@
     assert len(stage.callers._links) == 10
 
 
+def test_a_release_that_overtakes_its_answer_ends_the_attempt() -> None:
+    """The answer came later and was passed on: the caller had a call that was over, and never heard."""
+    stage = Platform("server", "second")
+    stage.play(f"""
+        caller send {SETUP}
+        server expect INVITE c1
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        wait 300
+        server expect INVITE c1
+        server send 503 INVITE c1
+        server expect ACK c1
+        second expect INVITE c1
+        second send 200 INVITE | there
+        second expect ACK c1
+        caller expect 200 c1 body=there
+        wait 20
+    """)
+    server = stage.peers["server"]
+    server.sock = server.came[id(server.heard[0])]
+    late = server.heard[0]
+    server.write(response(late, 200, body=b"late\r\n").encode())
+    stage.play("server expect ACK c1\n server expect BYE c1\n caller expect nothing\n second expect nothing")
+
+
+def test_a_release_by_a_server_that_does_not_have_the_call_leaves_it_standing() -> None:
+    """Another server ended an attempt that was given up there, and the call was taken for over."""
+    stage = Platform("server", "second")
+    stage.play(STANDS + """
+        second send BYE c1 reason=Q.850;cause=41
+        second expect 200 c1
+        caller expect nothing
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        caller expect BYE c1 reason=Q.850;cause=16
+    """)
+
+
+def test_a_release_lost_with_its_connection_comes_again_though_the_next_one_never_does() -> None:
+    """Others were up, so that nobody dialled again: the call was over, and its caller never heard."""
+    stage = Platform("server")
+    stage.play(f"""
+        caller send {SETUP}
+        server expect INVITE c1
+        other send {SETUP.replace("c1", "c2")}
+        server expect INVITE c2
+        server send 200 INVITE c1 | there
+        server expect ACK c1
+        server send 200 INVITE c2 | there
+        server expect ACK c2
+        caller expect 200 c1
+        other expect 200 c2
+        wait 150
+    """)
+    server = stage.peers["server"]
+    with socket.socket() as full:
+        full.bind((HOST, 0))
+        full.listen(0)
+        filling = [socket.socket() for _ in range(4)]
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        stage.tell("server", port=full.getsockname()[1])
+        broken = server.came[id(server.heard[0])]
+        broken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        server.drop(broken)
+        stage.play("wait 600")  # the next one has not come up by then
+        stage.tell("server", port=server.port)
+        for sock in filling:
+            sock.close()
+    before = set(server.rings)
+    stage.play("wait 1200")
+    assert len(set(server.rings) - before) == 1
+    server.sock = next(iter(set(server.rings) - before))
+    stage.play("server send BYE c1 reason=Q.850;cause=16\n server expect 200 c1\n caller expect BYE c1")
+
+
 # --- the end ---
 
 
