Tell refused callers a time to come back only where, and as long as, settings allow

Seen, searching for what is fitted to one deployment: X-Pause was told whatever allowed.retry_after says, and up to 4 resend gaps whatever allowed.max_retry_after says: callers that heed 1 s at most would all return at that bound at once. Change: Settings.longest_pause_us, read from both keys; the pause is drawn between half of it and all of it where it is shorter than ours. Checked: tests/test_shedding.py, test_platform.py, test_config.py, each fails without the change.

--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -723,7 +723,8 @@
         if call.unsafe:
             self._actions.append(i.FailCall(call.id))
         else:
-            pause_us = PAUSE * self._gap_us * self._random.uniform(1, 2)
+            least_us = min(PAUSE * self._gap_us, call.rules.longest_pause_us / 2)
+            pause_us = least_us * self._random.uniform(1, 2)
             self._actions.append(i.RefuseCall(call.id, round(pause_us)))
 
     # --- time ---
--- a/reedmount/interface.py
+++ b/reedmount/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -98,6 +99,7 @@
     may_cancel: bool
     redials_marked: bool
     subscribe: bool
+    longest_pause_us: float = math.inf  # that callers heed when they are refused; 0: they are told none
 
 
 @dataclass(frozen=True, slots=True)
--- a/reedmount/simhost.py
+++ b/reedmount/simhost.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from collections.abc import Callable, Iterable, Mapping
 from typing import TextIO, TypeVar
@@ -167,6 +168,14 @@
     )
 
 
+def longest_pause(options: Options) -> float:
+    """The longest time to stay away that callers heed; 0 where they are told none."""
+    if not options.flag("allowed.retry_after"):
+        return 0.0
+    told = options.maybe("allowed.max_retry_after")
+    return math.inf if told is None else number(told, "setting allowed.max_retry_after")
+
+
 def read_settings(parts: Iterable[str]) -> i.Settings:
     """Read what a site tells a proxy at its start."""
     options = Options(parts)
@@ -188,6 +197,7 @@
         may_cancel=options.flag("allowed.cancel"),
         redials_marked=options.flag("clients.marks_retry"),
         subscribe=options.text("discovery") == "on_request",
+        longest_pause_us=longest_pause(options),
     )
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -23,7 +23,8 @@
                  "effect": "read_like"}],
     "specifics": {"retransmit": 500000, "clear_wait": 300000, "pools_by_class": [[0, 1]]},
     "rules": {"cold": 14000000, "start_capacity": 0.32, "fall_multiple": 2.5, "tip_after": 3000000},
-    "allowed": {"max_attempts": 4, "cancel": True, "connect_timeout": 250000},
+    "allowed": {"max_attempts": 4, "cancel": True, "connect_timeout": 250000, "retry_after": True,
+                "max_retry_after": 2000000},
     "clients": {"marks_retry": False},
 }  # fmt: skip
 
@@ -33,6 +34,11 @@
     return {**SETTINGS, "classes": [{**SETTINGS["classes"][0], **changes}]}  # type: ignore[index]
 
 
+def allowed(**changes: Any) -> dict[str, Any]:
+    """The settings with other permissions."""
+    return {**SETTINGS, "allowed": {**SETTINGS["allowed"], **changes}}  # type: ignore[dict-item]
+
+
 def platform(folder: Path, env: dict[str, str] | None = None, **changes: Any) -> Any:
     config = {
         "name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f", "limits": {"sockets": 1024},
@@ -47,7 +53,11 @@
 def test_the_platform_s_settings_are_read_as_the_adapter_reads_them(tmp_path: Path) -> None:
     read = platform(tmp_path, {"GW_NAME": "n9", "GW_LISTEN": "127.0.0.1:77"})
     assert (read.name, read.listen, read.seed, read.known_last) == ("n9", ("127.0.0.1", 77), 0x8C1F, 1)
-    assert read.connect_wait == timedelta(milliseconds=250)
+    assert read.connect_wait == timedelta(milliseconds=250) and read.idle_wait is None
+    assert read.settings.longest_pause_us == 2_000_000
+    more = platform(tmp_path, settings=allowed(conn_idle=9_000_000, max_retry_after=800_000))
+    assert more.idle_wait == timedelta(seconds=9) and more.settings.longest_pause_us == 800_000
+    assert platform(tmp_path, settings=allowed(retry_after=False)).settings.longest_pause_us == 0
     assert read.settings.classes[0].servers == (0, 1) and read.settings.may_cancel
     assert read.settings.release_wait_us == 330_000, "and what a message takes on its way"
 
@@ -82,6 +92,9 @@
         ({"settings": {**SETTINGS, "allowed": {"max_attempts": 0}}}, "allowed.max_attempts: not above"),
         ({"settings": {**SETTINGS, "allowed": {"max_attempts": False}}}, "max_attempts: not a number: False"),
         ({"limits": {"sockets": True}}, "limits.sockets"),
+        ({"settings": allowed(max_retry_after="soon")}, "allowed.max_retry_after is not a number: 'soon'"),
+        ({"settings": allowed(conn_idle=-1)}, "allowed.conn_idle: not a whole number of microseconds"),
+        ({"settings": allowed(connect_timeout=0.5)}, "settings.allowed.connect_timeout: not a whole number"),
     ],
 )
 def test_a_fault_of_the_platform_s_configuration_is_named(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -162,6 +162,15 @@
     """)
 
 
+def test_where_callers_are_told_no_pause_a_refusal_has_none() -> None:
+    """It was told whatever the settings allowed."""
+    stage = Platform("server", max_attempts=1, longest_pause_us=0)
+    stage.play(f"caller send {SETUP}\n server expect INVITE c1\n server send 503 INVITE")
+    stage.play("server expect ACK c1\n wait 5")
+    refusal = stage.peers["caller"].inbox[0]
+    assert refusal.status == 503 and refusal.get("X-Pause") is None
+
+
 def test_the_final_answer_comes_before_the_caller_gives_up(stage: Platform) -> None:
     """With 40 ms to spare a stall of the core lost a held call's answer: it went out 2 ms late."""
     stage.play(f"""
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -113,6 +113,16 @@
     assert isinstance(answer, i.RefuseCall) and answer.retry_after_us > 0
 
 
+def test_a_pause_is_no_longer_than_callers_heed() -> None:
+    """Told a second and more where they heed a fifth of one, callers came back at the bound all at once."""
+    bench = Bench(replace(SETTINGS, longest_pause_us=200 * MS))
+    calls = [bench.call("small", left_us=8 * S) for _ in range(5)]
+    bench.run_for(2 * S)
+    answers = [bench.finals[call] for call in calls]
+    pauses = {answer.retry_after_us for answer in answers if isinstance(answer, i.RefuseCall)}
+    assert len(pauses) == 5 and min(pauses) >= 100 * MS and max(pauses) <= 200 * MS
+
+
 def test_those_refused_together_are_not_told_to_come_back_together() -> None:
     bench = Bench()
     calls = [bench.call("small", left_us=8 * S) for _ in range(5)]
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -18,6 +18,7 @@
     "specifics.clear_wait=300000", "rules.drain_grace=250000", "rules.cold=14000000",
     "rules.start_capacity=0.32", "rules.fall_multiple=2.5", "rules.tip_after=3000000",
     "allowed.max_attempts=4", "allowed.cancel=true", "allowed.max_retry_after=2000000",
+    "allowed.retry_after=true",
     "discovery=pushed", "never.heard.of=1",
 ]  # fmt: skip
 BOOT = "\t".join(["BOOT", "7", *OPTIONS])
