--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -339,6 +339,7 @@
             COUNTERS.add("released.crossed")
             self._callers.over(name)
             self._switch.caller_released(name, NORMAL)
+            self._callers.release(name, NORMAL, self)  # it had the answer: what stood and is over is told
         self._cancelled.discard(name)
 
     def _final(self, name: str, status: int, extra: list[tuple[str, str]]) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -106,6 +106,24 @@
     assert stage.switch.quiet
 
 
+def test_a_call_whose_cancel_crossed_its_answer_is_released_towards_both_sides() -> None:
+    """Its server was told and its caller was not, who had the answer whether it took it or not."""
+    stage = Platform("server")
+    stage.play(f"""
+        caller send {SETUP}
+        server expect INVITE c1
+        server send 200 INVITE c1
+        server expect ACK c1
+        caller expect 200 c1
+        caller send CANCEL c1
+        wait 600
+        server expect BYE c1
+        caller expect BYE c1
+        caller send 200 BYE
+    """)
+    assert stage.switch.quiet and stage.callers.quiet
+
+
 def test_a_set_up_that_lies_unread_keeps_its_connection_from_being_closed_as_idle() -> None:
     """It had come whole: the close was a reset, and the request was lost with no word."""
     stage = Platform("server")
