Take a listener with a full backlog from one place in the tests

Need: read again, tests/test_crossings.py built it twice as tests/test_net.py already did. Change: crowded() in tests/scenario.py; each assertion stands as it was.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -20,6 +20,8 @@
 import select
 import socket
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 
 from reedmount.core.clock import ZERO, Clock
@@ -34,6 +36,21 @@
 HOST = "127.0.0.1"
 
 
+@contextmanager
+def crowded() -> Iterator[tuple[socket.socket, list[socket.socket]]]:
+    """A listener whose backlog is full: connections come up once it accepts, or those that fill it close."""
+    with socket.socket() as full:
+        full.bind((HOST, 0))
+        full.listen(0)
+        filling = [socket.socket() for _ in range(4)]
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        yield full, filling
+        for sock in filling:
+            sock.close()
+
+
 class VirtualTime:
     """A clock that goes on only when it is told to."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from reedmount.net.connection import Connection, End
 from reedmount.net.loop import Loop
 from reedmount.sip.message import response
-from tests.scenario import HOST, VirtualTime, digits
+from tests.scenario import HOST, VirtualTime, crowded, digits
 from tests.test_board import notice
 from tests.test_config import ROOT, platform
 from tests.test_platform import ANOTHER, SETUP, STANDS, Platform
@@ -52,31 +52,23 @@
     stage = Platform("server")
     stage.play("server close reset")
     stage.peers["server"].stop()  # its backlog takes nobody: connections come up once this is over
-    full = socket.socket()
-    full.bind((HOST, 0))
-    full.listen(0)
-    filling = [socket.socket() for _ in range(4)]
-    for sock in filling:
-        sock.setblocking(False)
-        sock.connect_ex(full.getsockname())
-    stage.tell("server", port=full.getsockname()[1])
-    stage.play(f"wait 20\n caller send {SETUP}\n wait 100")
-    assert stage.switch.unanswered == 1
-    stage.play(leaves + "\n wait 5")
-    assert stage.switch.quiet
-    heard = []
-    for _ in range(20):
-        stage.wait(timedelta(milliseconds=50))
-        full.settimeout(0)
-        try:
-            sock, _ = full.accept()
-            sock.settimeout(0.01)
-            heard.append(sock.recv(4096))
-        except (BlockingIOError, TimeoutError):
-            continue
-    assert b"INVITE" not in b"".join(heard)
-    for sock in (full, *filling):
-        sock.close()
+    with crowded() as (full, _):
+        stage.tell("server", port=full.getsockname()[1])
+        stage.play(f"wait 20\n caller send {SETUP}\n wait 100")
+        assert stage.switch.unanswered == 1
+        stage.play(leaves + "\n wait 5")
+        assert stage.switch.quiet
+        heard = []
+        for _ in range(20):
+            stage.wait(timedelta(milliseconds=50))
+            full.settimeout(0)
+            try:
+                sock, _ = full.accept()
+                sock.settimeout(0.01)
+                heard.append(sock.recv(4096))
+            except (BlockingIOError, TimeoutError):
+                continue
+        assert b"INVITE" not in b"".join(heard)
 
 
 @pytest.mark.parametrize("leaves", ["caller close", "caller close reset", "caller send CANCEL c1"])
@@ -291,13 +283,7 @@
         wait 150
     """)
     server = stage.peers["server"]
-    with socket.socket() as full:
-        full.bind((HOST, 0))
-        full.listen(0)
-        filling = [socket.socket() for _ in range(4)]
-        for sock in filling:
-            sock.setblocking(False)
-            sock.connect_ex(full.getsockname())
+    with crowded() as (full, filling):
         stage.tell("server", port=full.getsockname()[1])
         broken = server.came[id(server.heard[0])]
         broken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from reedmount.net.connection import Connection, End, address_of, bind
 from reedmount.net.loop import Loop
 from reedmount.net.ring import Ring
-from tests.scenario import HOST, VirtualTime
+from tests.scenario import HOST, VirtualTime, crowded
 
 
 def test_the_ring_keeps_order_over_its_seam_and_its_bound() -> None:
@@ -83,21 +83,13 @@
     for _ in range(5):
         loop.turn(timedelta(milliseconds=20))
     assert ends == [End.REFUSED]
-    with socket.socket() as full:
-        full.bind((HOST, 0))
-        full.listen(0)
-        filling = [socket.socket() for _ in range(4)]
-        for sock in filling:
-            sock.setblocking(False)
-            sock.connect_ex(full.getsockname())
+    with crowded() as (full, _filling):
         loop, time, ends = dial(full.getsockname(), timedelta(milliseconds=500))
         loop.turn(timedelta(milliseconds=20))
         assert not ends
         time.seconds = 1.0
         loop.turn(ZERO)
         assert ends == [End.NEVER_UP]
-        for sock in filling:
-            sock.close()
 
 
 def test_a_peer_that_reads_nothing_is_given_up() -> None:
