--- /dev/null
+++ b/standins/soak/cases.py
@@ -0,0 +1,57 @@
+"""Runs that are written out, not drawn: a fault that was met, with what stood round it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from standins.soak.board import Mood
+from standins.soak.plan import Plan, Step
+from standins.soak.run import Run
+
+CASES: dict[str, Callable[[], Plan]] = {}
+DISCOVERY_DOWN_S = 9.5  # longer than callers may be left untold
+
+
+def case(build: Callable[[], Plan]) -> Callable[[], Plan]:
+    """Know it by its name."""
+    CASES[build.__name__.replace("_", "-")] = build
+    return build
+
+
+@case
+def vanished_unheard() -> Plan:
+    """Three of four call servers vanish with their calls while discovery is silent (incident 45492b)."""
+
+    async def discovery(run: Run, _: random.Random) -> None:
+        run.board.feel(Mood.SILENT)
+        await run.sleep(DISCOVERY_DOWN_S)
+        run.board.feel(Mood.WELL)
+
+    async def vanish(run: Run, _: random.Random) -> None:
+        gone = run.servers[:3]
+        for server in gone:
+            server.vanish()
+        await run.sleep(DISCOVERY_DOWN_S)
+        run.say_state(gone, "DELETED")
+
+    return Plan([Step(2.5, "discovery is down", discovery), Step(3.0, "three servers vanish", vanish)])
+
+
+@case
+def restarts_while_servers_hang() -> Plan:
+    """All border controllers are restarted one after another; two of four call servers hang throughout."""
+
+    async def hang(run: Run, _: random.Random) -> None:
+        for server in run.servers[:2]:
+            server.hang()
+        await run.sleep(9.0)
+        for server in run.servers[:2]:
+            server.heal()
+
+    async def restart(run: Run, _: random.Random) -> None:
+        for node in run.nodes.values():
+            await run.restart(node)
+
+    steps = [Step(2.0, "two servers hang", hang), Step(2.5, "restarts", restart)]
+    return Plan(steps, calls_per_s=100.0, longest_ms=1200)
--- /dev/null
+++ b/standins/soak/plan.py
@@ -0,0 +1,173 @@
+"""The faults of a run, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from standins.soak.board import Mood
+
+if TYPE_CHECKING:
+    from standins.soak.run import Run
+
+TRAFFIC_S = 12.0
+FIRST_FAULT_S, LAST_FAULT_S = 1.5, 9.0
+
+Deed = Callable[["Run", random.Random], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Step:
+    """One fault at its time."""
+
+    at: float
+    name: str
+    deed: Deed
+
+
+@dataclass(slots=True)
+class Plan:
+    """All faults of a run in order."""
+
+    steps: list[Step] = field(default_factory=list)
+    calls_per_s: float | None = None  # at each border controller; None: drawn
+    longest_ms: int | None = None  # the longest deadline; None: drawn
+
+
+async def board_down(run: Run, chance: random.Random) -> None:
+    """Discovery is down for some seconds."""
+    mood = chance.choice([mood for mood in Mood if mood is not Mood.WELL])
+    run.board.feel(mood)
+    await run.sleep(chance.uniform(1.5, 9.5))
+    run.board.feel(Mood.WELL)
+
+
+async def vanish(run: Run, chance: random.Random) -> None:
+    """Servers vanish with their calls; discovery says so some time later, and others take their place."""
+    gone = run.some_servers(chance)
+    for server in gone:
+        server.vanish()
+    await run.sleep(chance.uniform(0.5, 9.5))
+    run.say_state(gone, "DELETED")
+    run.add_servers(len(gone))
+
+
+async def die(run: Run, chance: random.Random) -> None:
+    """Processes die; discovery says so later, and new ones come."""
+    gone = run.some_servers(chance, most=2)
+    for server in gone:
+        server.die()
+    await run.sleep(chance.uniform(0.3, 5.0))
+    run.say_state(gone, "DELETED")
+    run.add_servers(len(gone))
+
+
+async def hang(run: Run, chance: random.Random) -> None:
+    """Processes stand still and go on."""
+    hung = run.some_servers(chance)
+    for server in hung:
+        server.hang()
+    await run.sleep(chance.uniform(0.5, 6.0))
+    for server in hung:
+        server.heal()
+
+
+async def cut(run: Run, chance: random.Random) -> None:
+    """The network to some servers is gone for a while."""
+    away = run.some_servers(chance)
+    for server in away:
+        server.cut()
+    await run.sleep(chance.uniform(0.3, 6.0))
+    for server in away:
+        server.heal()
+
+
+async def drain(run: Run, chance: random.Random) -> None:
+    """Servers drain and leave; others come."""
+    leaving = run.some_servers(chance, most=2)
+    run.say_state(leaving, "DRAINING")
+    run.add_servers(len(leaving))
+    await run.sleep(chance.uniform(1.0, 6.0))
+    for server in leaving:
+        server.die()
+    run.say_state(leaving, "DELETED")
+
+
+async def restart(run: Run, chance: random.Random) -> None:
+    """One border controller after the other is restarted."""
+    for node in run.some_nodes(chance):
+        await run.restart(node)
+        await run.sleep(chance.uniform(0.0, 0.5))
+
+
+async def configure(run: Run, chance: random.Random) -> None:
+    """New configurations in quick succession."""
+    for _ in range(chance.randint(1, 6)):
+        for node in run.some_nodes(chance):
+            await run.configure(node, moves=chance.random() < 0.5)
+        await run.sleep(chance.choice((0.01, 0.1, 1.0)))
+
+
+async def bad_clients(run: Run, chance: random.Random) -> None:
+    """Crowds, rubbish and floods at all border controllers."""
+    for clients in run.clients.values():
+        clients.spawn(clients.misbehave(chance.uniform(1.0, 6.0)))
+
+
+async def spoilt(run: Run, chance: random.Random) -> None:
+    """Call servers spoil answers, lose them, or answer late."""
+    for server in run.servers:
+        manners = server.manners
+        manners.never, manners.late = chance.uniform(0, 0.05), chance.uniform(0, 0.08)
+        manners.cut_short, manners.noise = chance.uniform(0, 0.05), chance.uniform(0, 0.03)
+        manners.twice, manners.reset = chance.uniform(0, 0.2), chance.uniform(0, 0.05)
+        manners.early_close = chance.uniform(0, 0.2)
+
+
+async def resets(run: Run, chance: random.Random) -> None:
+    """Connections to call servers are reset or closed, whatever is open on them."""
+    for _ in range(chance.randint(5, 40)):
+        server = chance.choice(run.servers)
+        if chance.random() < 0.7:
+            server.reset_some()
+        else:
+            server.close_idle()
+        await run.sleep(chance.uniform(0.01, 0.2))
+
+
+async def late_connections(run: Run, chance: random.Random) -> None:
+    """New connections to servers come up late, again and again."""
+    for _ in range(chance.randint(2, 6)):
+        server = chance.choice(run.servers)
+        if not server.silent:
+            server.cut()
+            await run.sleep(chance.uniform(0.1, 1.0))
+            server.heal()
+
+
+DEEDS: dict[str, tuple[Deed, int]] = {
+    "board down": (board_down, 4),
+    "vanish": (vanish, 4),
+    "die": (die, 2),
+    "hang": (hang, 3),
+    "cut": (cut, 2),
+    "drain": (drain, 3),
+    "restart": (restart, 4),
+    "configure": (configure, 2),
+    "bad clients": (bad_clients, 2),
+    "spoilt": (spoilt, 3),
+    "resets": (resets, 3),
+    "late connections": (late_connections, 2),
+}
+
+
+def draw(seed: int) -> Plan:
+    """Some faults at random instants; the same seed gives the same."""
+    chance = random.Random(f"plan {seed}")
+    names = list(DEEDS)
+    weights = [weight for _, weight in DEEDS.values()]
+    chosen = chance.choices(names, weights, k=chance.randint(3, 7))
+    steps = [Step(chance.uniform(FIRST_FAULT_S, LAST_FAULT_S), name, DEEDS[name][0]) for name in chosen]
+    return Plan(sorted(steps, key=lambda step: step.at))
--- /dev/null
+++ b/standins/soak/run.py
@@ -0,0 +1,243 @@
+"""One run: border controllers as processes, all that is round them, the faults of a plan, and the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import time
+from collections import Counter
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from standins.soak import checks
+from standins.soak.board import Board
+from standins.soak.callserver import CallServer, State
+from standins.soak.checks import Life
+from standins.soak.clients import ClassOfCall, Clients, Habits
+from standins.soak.history import History
+from standins.soak.nodes import SOCKETS, Node
+from standins.soak.plan import TRAFFIC_S, Plan
+
+NODES, SERVERS = 3, 4
+READY_WITHIN_S = 10.0
+TAIL_S = 9.0  # until the last call that no release could be sent for has to be told
+CONNECTIONS_COME_S = (0.2, 0.4)  # after SIGTERM
+CALLS_PER_S = (10, 25, 40)
+CONNECTIONS = (1, 3, 8)
+LONGEST_MS = (1200, 2000, 3000)
+PORT = 20000  # below those that outgoing connections get
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What came of a run."""
+
+    seed: int
+    broken: list[str]
+    counts: dict[str, int]
+    story: list[str]
+
+
+def settings_for(classes: list[ClassOfCall], nodes: int) -> dict[str, Any]:
+    """The settings of the platform's file."""
+    described = [
+        {"name": kind.name, "worth": 1.0, "late_share": 0.25, "target": kind.deadline_ms * 500,
+         "deadline": kind.deadline_ms * 1000, "effect": "read_like" if kind.repeatable else "non_idempotent"}
+        for kind in classes
+    ]  # fmt: skip
+    return {
+        "balancers": nodes, "over_share_worth": 0.1, "discovery": "pushed", "tenants": [],
+        "classes": described,
+        "specifics": {"retransmit": 500000, "clear_wait": 200000},
+        "rules": {"cold": 8000000, "start_capacity": 0.32, "fall_multiple": 2.5, "tip_after": 1000000},
+        "allowed": {"max_attempts": 4, "cancel": True, "connect_timeout": 250000, "conn_idle": 4000000,
+                    "retry_after": True, "max_retry_after": 2000000},
+        "clients": {"marks_retry": False},
+    }  # fmt: skip
+
+
+class Run:
+    """All parts of one run."""
+
+    def __init__(
+        self, seed: int, folder: Path, plan: Plan, nodes: int = NODES, crowd: bool = False
+    ) -> None:
+        self.seed, self._folder, self._plan = seed, folder, plan
+        self._chance = random.Random(f"run {seed}")
+        self.history = History()
+        self.board = Board(self.history, self._fork("board"))
+        self.servers: list[CallServer] = []
+        self.nodes: dict[str, Node] = {}
+        self.clients: dict[str, Clients] = {}
+        self.lives: list[Life] = []
+        self._restarting: set[str] = set()
+        self._crowd = crowd
+        self._names = [f"n{number}" for number in range(1, nodes + 1)]
+        longest = plan.longest_ms or self._chance.choice(LONGEST_MS)
+        self.classes = [ClassOfCall("plain", longest, True), ClassOfCall("once", min(longest, 1500), False)]
+
+    def _fork(self, what: str) -> random.Random:
+        return random.Random(f"{what} {self.seed}")
+
+    async def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        await asyncio.sleep(seconds)
+
+    async def play(self) -> Verdict:
+        """Start all, let the faults happen, wait for the ends, and judge."""
+        try:
+            await self._start()
+            tasks = [asyncio.create_task(self._step(step)) for step in self._plan.steps]
+            await self.sleep(TRAFFIC_S)
+            await asyncio.gather(*tasks)
+            for clients in self.clients.values():
+                clients.tail = True
+            await self.sleep(TAIL_S)
+            return self._judge()
+        finally:
+            self._close()
+
+    async def _step(self, step: Any) -> None:
+        await self.sleep(step.at)
+        self.history.tell(f"fault: {step.name}")
+        await step.deed(self, self._fork(f"{step.name} {step.at}"))
+
+    # --- parts ---
+
+    async def _start(self) -> None:
+        self.add_servers(SERVERS)
+        host = f"127.{1 + os.getpid() % 250}.{self.seed % 250}"
+        for number, name in enumerate(self._names, 1):
+            config = {
+                "name": name, "listen": f"{host}.{number}:{PORT}",
+                "seed": f"{self._chance.getrandbits(32):x}", "limits": {"sockets": SOCKETS},
+                "board": await self.board.open_for(name), "known": self.board.known(),
+                "settings": settings_for(self.classes, len(self._names)),
+            }  # fmt: skip
+            node = Node(name, (f"{host}.{number}", PORT), self._folder, config)
+            rate = self._plan.calls_per_s or self._chance.choice(CALLS_PER_S)
+            habits = Habits(rate, self._chance.choice(CONNECTIONS))
+            chance = self._fork(f"clients {name}")
+            clients = Clients(name, node.address, self.classes, habits, self.history, chance)
+            self.nodes[name], self.clients[name] = node, clients
+            node.start()
+            clients.spawn(clients.run())
+        await asyncio.gather(*(self._until_ready(name) for name in self._names))
+        if self._crowd:
+            for clients in self.clients.values():
+                clients.spawn(clients.misbehave(TRAFFIC_S))
+
+    async def _until_ready(self, name: str) -> None:
+        clients, begun = self.clients[name], self.history.now
+        while not await clients.ready():
+            if self.history.now - begun > READY_WITHIN_S:
+                self.history.broke(f"{name} was not ready {READY_WITHIN_S} s after its start")
+                return
+            await self.sleep(0.05)
+        self.lives.append(Life(name, clients.life, self.history.now))
+        self.history.tell(f"{name} is ready")
+        clients.taking = clients.calling = True
+
+    def add_servers(self, count: int) -> None:
+        """New call servers, as discovery names them."""
+        fresh = []
+        for _ in range(count):
+            number = len(self.servers) + 1
+            fresh.append(CallServer(f"s{number}", number, self.history, self._fork(f"server {number}")))
+            self.servers.append(fresh[-1])
+        born = 0 if len(self.servers) == count else int(time.time() * 1000)
+        self.board.say(*(self._host(server, "SERVING", born) for server in fresh))
+
+    def say_state(self, servers: list[CallServer], state: str) -> None:
+        """Discovery says that servers drain or are gone."""
+        if servers:
+            self.board.say(*(self._host(server, state, 0) for server in servers))
+
+    @staticmethod
+    def _host(server: CallServer, state: str, born_ms: int) -> dict[str, Any]:
+        return {"host": server.name, "dial": server.address, "site": "here", "class": "std",
+                "block": server.number, "health": state, "share": 4, "born_ms": born_ms}  # fmt: skip
+
+    def some_servers(self, chance: random.Random, most: int = 3) -> list[CallServer]:
+        """Some of those that serve and are not about to leave, but not the last one."""
+        able = [server for server in self.servers if server.state is State.SERVING and not server.busy]
+        count = min(chance.randint(1, most), max(0, len(able) - 1))
+        chosen = chance.sample(able, count)
+        for server in chosen:
+            server.busy = True
+        return chosen
+
+    def some_nodes(self, chance: random.Random) -> list[Node]:
+        """Some of the border controllers, in any order."""
+        return chance.sample(list(self.nodes.values()), chance.randint(1, len(self.nodes)))
+
+    # --- what befalls border controllers ---
+
+    async def restart(self, node: Node) -> None:
+        """SIGTERM, SIGKILL as soon as it may come, and a new process at once."""
+        if node.name in self._restarting or not node.running:
+            return
+        self._restarting.add(node.name)
+        clients = self.clients[node.name]
+        self.history.tell(f"{node.name} gets SIGTERM")
+        node.send(signal.SIGTERM)
+        come_for = self._chance.uniform(*CONNECTIONS_COME_S)
+        asyncio.get_running_loop().call_later(come_for, clients.stop_connecting)
+        forced = not await node.ended_within(node.kill_after_s)
+        clients.calling = clients.taking = False
+        clients.killed = forced
+        node.kill()
+        self.history.tell(f"{node.name} {'was killed' if forced else 'has ended'}")
+        self._end_life(node.name)
+        await self.sleep(0.05)
+        clients.killed = False
+        clients.life += 1
+        node.config["known"] = self.board.known()
+        node.start()
+        await self._until_ready(node.name)
+        self._restarting.discard(node.name)
+
+    def _end_life(self, name: str) -> None:
+        for place, life in enumerate(self.lives):
+            if life.node == name and life.number == self.clients[name].life:
+                self.lives[place] = replace(life, ended_at=self.history.now)
+
+    async def configure(self, node: Node, moves: bool) -> None:
+        """A new configuration, perhaps with another place of discovery, and SIGHUP."""
+        if node.name in self._restarting or not node.running:
+            return
+        if moves:
+            node.config["board"] = await self.board.open_for(node.name)
+        node.write_config()
+        self.history.tell(f"{node.name} gets SIGHUP")
+        node.send(signal.SIGHUP)
+
+    # --- the end ---
+
+    def _judge(self) -> Verdict:
+        found = checks.broken(self.history, self.board, self.lives)
+        for node in self.nodes.values():
+            node.count_descriptors()
+            if not node.running:
+                found.append(f"crash: {node.name} is not there any more")
+            found += node.faults()
+        counts: Counter[str] = Counter()
+        for call in self.history.calls.values():
+            counts["sent"] += call.sent_at < float("inf")
+            counts["attempts"] += len(call.attempts)
+            counts["stood"] += call.stood
+            counts["refused"] += any(answer.status >= 300 for answer in call.answers)
+        story = [f"{event.at:7.3f} {event.text}" for event in self.history.events]
+        return Verdict(self.seed, found, dict(counts), story)
+
+    def _close(self) -> None:
+        for clients in self.clients.values():
+            clients.close()
+        for node in self.nodes.values():
+            node.close()
+        for server in self.servers:
+            server.close()
+        self.board.close()
