Log each attempt, answer, release and close with its call id and its reason

Change: core/trace.py writes an event log of key=value lines (time, event, call, server, reason), bounded for each event by a burst of 100 and 20 a second, written once a turn. The module's refusals carry a typed reason. Attempts, answers, releases, connections on both sides, retirements, dials, the board's failures, the list, reloads and the lifecycle are noted.

--- a/reedmount/control.py
+++ b/reedmount/control.py
@@ -302,7 +302,7 @@
         # A redial may come with less time left than a tick: it would be past its time before we look again.
         if not self._end_if_hopeless(now, call) and len(self._held) > HELD_MOST:
             for shed in sorted(self._held.values(), key=self._order(now))[-SHED_AT_ONCE:]:
-                self._refuse(shed)
+                self._refuse(shed, i.Reason.SHED)
 
     def _forget(self, call: int) -> None:
         self._calls.pop(call, None)
@@ -704,28 +704,39 @@
         It is held briefly: to its aim, and past that for a moment. Then its caller hears at once: keeping it
         to the end of the caller's time would only put the redial off.
         """
-        earliest = max(now, call.not_before_us)
-        spent = call.attempts >= call.rules.max_attempts or len(call.faults) >= FAULTS_MOST
-        spent = spent or len(set(call.faults)) >= FAULTS_AT_TWO
-        waited = now >= max(call.aim_at_us, call.held_us + HOLD * self._gap_us)
-        over = earliest + ANSWER_MARGIN * self._tick_us >= call.answer_by_us
-        if not (spent or call.unsafe or waited or over):
+        reason = self._why_hopeless(now, call)
+        if reason is None:
             return False
-        self._refuse(call)
+        self._refuse(call, reason)
         return True
 
-    def _refuse(self, call: Call) -> None:
+    def _why_hopeless(self, now: int, call: Call) -> i.Reason | None:
+        """Why no further attempt is made, or None where one may be."""
+        if call.unsafe:
+            return i.Reason.MAY_HAVE_RUN
+        if call.attempts >= call.rules.max_attempts:
+            return i.Reason.NO_ATTEMPT_LEFT
+        if len(call.faults) >= FAULTS_MOST or len(set(call.faults)) >= FAULTS_AT_TWO:
+            return i.Reason.FAULTS
+        earliest = max(now, call.not_before_us)
+        if earliest + ANSWER_MARGIN * self._tick_us >= call.answer_by_us:
+            return i.Reason.NO_TIME
+        if now >= max(call.aim_at_us, call.held_us + HOLD * self._gap_us):
+            return i.Reason.NO_SERVER
+        return None
+
+    def _refuse(self, call: Call, reason: i.Reason) -> None:
         """The final answer, with a time to come back, drawn lest those refused together return as one.
 
         A call that may have run and must not run twice is failed instead.
         """
         self._forget(call.id)
         if call.unsafe:
-            self._actions.append(i.FailCall(call.id))
+            self._actions.append(i.FailCall(call.id, reason))
         else:
             least_us = min(PAUSE * self._gap_us, call.rules.longest_pause_us / 2)
             pause_us = least_us * self._random.uniform(1, 2)
-            self._actions.append(i.RefuseCall(call.id, round(pause_us)))
+            self._actions.append(i.RefuseCall(call.id, round(pause_us), reason))
 
     # --- time ---
 
--- a/reedmount/core/actors.py
+++ b/reedmount/core/actors.py
@@ -11,6 +11,7 @@
 
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import Clock
+from reedmount.core.trace import Trace
 
 T = TypeVar("T")
 
@@ -44,6 +45,7 @@
         self.stopped = False
         self._timers: list[Timer] = []
         self._ready: deque[Callable[[], None]] = deque()
+        self.trace = Trace(clock, self.soon)
         self._order = 0
         self.keep: object = None  # what must live as long as the loop
 
--- a/reedmount/core/lifecycle.py
+++ b/reedmount/core/lifecycle.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from reedmount.core.clock import Clock
+from reedmount.core.trace import Trace
 
 
 class Phase(Enum):
@@ -29,8 +30,8 @@
 class Lifecycle:
     """Starting, ready, draining, ending; a drain can be undone at any moment, an end cannot."""
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self, clock: Clock, trace: Trace | None = None) -> None:
+        self._clock, self._trace = clock, trace
         self._needs = {Need.LISTENING, Need.SERVERS}
         self._superseded: datetime | None = None
         self._quiesced: datetime | None = None
@@ -102,5 +103,7 @@
     def _tell(self) -> None:
         before, self._last = self._last, self.phase
         if self._last is not before:
+            if self._trace is not None:
+                self._trace("lifecycle", phase=self._last.value, before=before.value)
             for tell in self._told:
                 tell()
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -10,7 +10,7 @@
 from reedmount.control import Controller
 from reedmount.core.actors import Actor, Scheduler
 from reedmount.core.checks import COUNTERS, invariant, log
-from reedmount.core.clock import ZERO, Clock, micros, span, span_micros
+from reedmount.core.clock import ZERO, Clock, micros, span, span_micros, whole_millis
 from reedmount.core.lifecycle import Lifecycle, Need
 from reedmount.core.ports import CUT, NORMAL, Caller, Keeper, Listed, Offer, Progress, Servers, Setup
 
@@ -41,8 +41,8 @@
 
     def __init__(self, loop: Scheduler, settings: i.Settings, seed: int) -> None:
         self.settings = settings
-        self._loop, self._clock = loop, loop.clock
-        self.lifecycle = Lifecycle(loop.clock)
+        self._loop, self._clock, self._trace = loop, loop.clock, loop.trace
+        self.lifecycle = Lifecycle(loop.clock, loop.trace)
         self._module = Controller(settings, seed)
         self._inbox: Actor[i.Event | i.Settings] = Actor(loop, self._handle)
         self._servers: Servers | None = None
@@ -144,6 +144,7 @@
         if call is None or call.gone:
             return
         COUNTERS.add("calls.given_up")
+        self._trace("call.given_up", call=name, attempts=call.attempts, server=call.server or "-")
         call.gone = True  # dropped once the module knows, lest it counts a set-up that was never sent
         self._inbox.post(i.CallerGone(call.number))
         if call.out is not None:
@@ -153,17 +154,17 @@
         """The end is near: whoever still waits hears now that nothing comes of it, and may call again."""
         for call in [call for call in self._by_number.values() if not call.gone]:
             COUNTERS.add("answered.at_the_end")
-            self._cut_short(call)
+            self._cut_short(call, "the process ends")
 
-    def _cut_short(self, call: Call) -> None:
+    def _cut_short(self, call: Call, reason: str) -> None:
         """Nothing comes of it any more, whatever the module would still try: the answer, and word to all."""
         name, kind = call.offer.name, self.classes[call.offer.call_class]
         harmless = not call.attempts or kind.effect is i.Effect.REPEATABLE
         self._inbox.post(i.CallerGone(call.number))
         if harmless:
-            self._answer(call, "refused", lambda call: call.caller.refused(name, ZERO))
+            self._answer(call, "refused", reason, lambda call: call.caller.refused(name, ZERO))
         else:
-            self._answer(call, "failed", lambda call: call.caller.failed(name))
+            self._answer(call, "failed", reason, lambda call: call.caller.failed(name))
         if call.out is not None:
             self._side.cancel(name, call.out)
 
@@ -174,6 +175,7 @@
             self._side.release(None, name, cause)
             return False
         COUNTERS.add("released.by_caller")
+        self._trace("call.released", call=name, server=call.server, by="caller", cause=cause)
         self._side.release(call.server, name, cause)
         self._end_standing(call, i.Outcome.CANCELLED, NO_REPORT)
         return True
@@ -198,6 +200,8 @@
         self._tell_attempt(call.server, i.Outcome.COMPLETED)
         self._let_class_go(call.offer.call_class)
         COUNTERS.add("answered.stands")
+        self._trace("call.stands", call=name, server=call.server, attempts=call.attempts,
+                    after_ms=whole_millis(delay))  # fmt: skip
         self._look_at_the_clock(call, "stands")
         call.caller.answered(name, description)
         self._inbox.post(i.CallStands(call.number, call.attempts - 1, call.server, span_micros(delay)))
@@ -238,6 +242,8 @@
         if call is None or call.out != attempt:
             return
         COUNTERS.add(f"attempts.{outcome.value.replace(' ', '_')}")
+        self._trace("attempt.ended", call=name, attempt=attempt, server=call.server,
+                    outcome=f'"{outcome.value}"', cause=cause.name)  # fmt: skip
         call.out = None
         self._tell_attempt(call.server, outcome)
         self._post_end(call, outcome, cause, report)
@@ -256,29 +262,33 @@
         call = self._by_name.get(name)
         if call is not None and not call.standing and not call.gone:
             COUNTERS.add("released.before_answer")
-            self._cut_short(call)
+            self._cut_short(call, "its server released it before its answer")
             return True
         if call is None or not call.standing:
             if call is None and name not in self._over:
                 # From before our restart: the front finds its caller.
                 self._remember(name)
                 COUNTERS.add("released.unknown")
+                self._trace("call.released_unknown", call=name, server=server or "-", cause=cause)
                 for tell in self._orphans:
                     tell(name, cause)
             return False
         COUNTERS.add("released.by_server")
+        self._trace("call.released", call=name, server=server or call.server, by="server", cause=cause)
         if server not in (None, call.server):
             self._side.release(call.server, name, CUT)
         call.caller.released(name, cause)
         self._end_standing(call, i.Outcome.COMPLETED if cause == NORMAL else i.Outcome.RESET, report)
         return True
 
-    def server_lost(self, server: str, before: datetime | None = None) -> None:
+    def server_lost(self, server: str, reason: str, before: datetime | None = None) -> None:
         """A server's process is gone: the calls sent there (before the start of a new one) are cut."""
         for call in list(self._by_number.values()):
             older = before is None or call.sent_at is None or call.sent_at < before
             if call.standing and call.server == server and older:
                 COUNTERS.add("released.server_lost")
+                self._trace("call.released", call=call.offer.name, server=server, by="border controller",
+                            cause=CUT, reason=f'"{reason}"')  # fmt: skip
                 call.caller.released(call.offer.name, CUT)
                 self._end_standing(call, i.Outcome.RESET, NO_REPORT)
 
@@ -303,6 +313,8 @@
 
     def pool(self, version: int, kind: i.ListKind, entries: list[Listed]) -> None:
         """News of the pool: to the server side first, so that nothing queued there goes to a drain."""
+        self._trace("list.changed", version=version, kind=kind.value, servers=len(entries),
+                    leaving=sum(not entry.serving for entry in entries))  # fmt: skip
         self._side.listed(entries)
         told = tuple(
             i.ServerEntry(
@@ -344,11 +356,13 @@
                 call = self._by_number.get(number)
                 if call is not None and call.out == attempt:
                     self._side.cancel(call.offer.name, attempt)
-            case i.RefuseCall(number, pause_us):
+            case i.RefuseCall(number, pause_us, reason):
                 pause = span(pause_us)
-                self._finish(number, "refused", lambda call: call.caller.refused(call.offer.name, pause))
-            case i.FailCall(number):
-                self._finish(number, "failed", lambda call: call.caller.failed(call.offer.name))
+                self._finish(
+                    number, "refused", reason.value, lambda call: call.caller.refused(call.offer.name, pause)
+                )
+            case i.FailCall(number, reason):
+                self._finish(number, "failed", reason.value, lambda call: call.caller.failed(call.offer.name))
             case i.SetTimer(name, after_us):
                 self._loop.after(span(after_us), lambda: self._inbox.post(i.TimerFired(name)))
             case i.Log(text):
@@ -381,16 +395,18 @@
                   span(action.give_up_us), offer.description)
         )  # fmt: skip
 
-    def _finish(self, number: int, what: str, answer: Callable[[Call], None]) -> None:
+    def _finish(self, number: int, what: str, reason: str, answer: Callable[[Call], None]) -> None:
         call = self._by_number.get(number)
         if call is None or call.gone:
             return  # its caller left while the answer was on its way
         invariant(call.out is None, "no_answer_with_an_attempt_out")
-        self._answer(call, what, answer)
+        self._answer(call, what, reason, answer)
 
-    def _answer(self, call: Call, what: str, answer: Callable[[Call], None]) -> None:
+    def _answer(self, call: Call, what: str, reason: str, answer: Callable[[Call], None]) -> None:
         """The final answer."""
         COUNTERS.add(f"answered.{what}")
+        self._trace(f"call.{what}", call=call.offer.name, attempts=call.attempts, server=call.server or "-",
+                    reason=f'"{reason}"')  # fmt: skip
         self._look_at_the_clock(call, what)
         if self.keeper is not None:
             self.keeper.final(call.offer.name, what, call.attempts, call.server, lambda: answer(call))
--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -13,7 +13,7 @@
 from reedmount import interface as i
 from reedmount.core.actors import Actor, Timer
 from reedmount.core.checks import COUNTERS, log
-from reedmount.core.clock import EPOCH, millis
+from reedmount.core.clock import EPOCH, millis, whole_millis
 from reedmount.core.ports import Listed
 from reedmount.net.connection import Address, Connection, End, address_of
 from reedmount.net.loop import Loop
@@ -193,14 +193,17 @@
             case Silence(poll):
                 if poll == self._polls and self._asked:
                     COUNTERS.add("board.silent")
+                    waited = self._loop.clock.now() - self._asked_at
+                    self._loop.trace("board.given_up", reason="silent", waited_ms=whole_millis(waited))
                     self._slack = min(2 * self._slack, MOST_SLACK)
                     self._lose()
                     self._ask()
             case Connection():
                 self._hear(word)
-            case (connection, _):
+            case (connection, how):
                 if connection is self._connection:
                     COUNTERS.add("board.lost")
+                    self._loop.trace("board.lost", how=f'"{how.value}"')
                     was_up = self._asked and self._http.their_state is not h11.IDLE
                     self._lose()
                     self._loop.after(RETRY if not was_up else RETRY / 4, lambda: self._actor.post(Tick()))
@@ -271,6 +274,7 @@
         except (h11.RemoteProtocolError, BoardError, ValueError, RecursionError) as error:
             COUNTERS.add("board.bad_answers")
             log(f"board: {error}", "board.bad_answer")
+            self._loop.trace("board.bad_answer")
             self._lose()
             self._loop.after(RETRY, lambda: self._actor.post(Tick()))
 
--- a/reedmount/fronts/lane.py
+++ b/reedmount/fronts/lane.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 from reedmount.net.loop import Loop
 from reedmount.sip.message import Message
 
+NUMBERS = itertools.count(1)
 FRESH = 0.75  # of the time after which a call server closes an idle connection: until then it is used
 
 
@@ -108,6 +110,7 @@
     """
 
     def __init__(self, server: Owner) -> None:
+        self.number = next(NUMBERS)  # for the log
         self.outbox: deque[Outgoing] = deque()
         self.attempts: dict[str, Attempt] = {}  # queued or sent here
         self.answered: deque[str] = deque(maxlen=16)  # a second copy may follow
--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -93,7 +93,7 @@
         known, self._entry = self._entry, entry
         if entry.started is not None and (known.started is None or entry.started > known.started):
             # A restart behind the same name: what stood at the old process is gone with it.
-            self._switch.server_lost(entry.server, entry.started)
+            self._switch.server_lost(entry.server, "its process was restarted", entry.started)
         if entry.serving:
             return
         for attempt in [attempt for attempt in self._attempts.values() if attempt.sent_at is None]:
@@ -101,7 +101,7 @@
                 attempt.lane.unsent(attempt)
             self._end(attempt, i.Outcome.NOT_SENT)
         if entry.removed:
-            self._switch.server_lost(entry.server)
+            self._switch.server_lost(entry.server, "it was removed from the list")
             self._abandon()
             self._actor.stop()
 
@@ -140,7 +140,7 @@
         """Give a set-up a lane: a free one, else a new one, else the one with the fewest open."""
         name = attempt.setup.name
         for stale in [lane for lane in self._lanes if lane.stale]:
-            self._retire(stale)
+            self._retire(stale, "its server may close it as idle")
         able = [lane for lane in self._lanes if name not in lane.answered]
         free = (lane for lane in able if lane.free)
         lane = max(free, key=lambda lane: lane.connection.heard_at, default=None)
@@ -161,12 +161,14 @@
         for lane in [lane for lane in self._lanes if lane.connection.up and lane.connection.heard_at < since]:
             if any(attempt.sent_at and attempt.sent_at < since for attempt in lane.attempts.values()):
                 COUNTERS.add("server.silent")
-                self._retire(lane)
+                self._retire(lane, "a set-up hangs there and nothing comes")
 
-    def _retire(self, lane: Lane) -> None:
+    def _retire(self, lane: Lane, reason: str) -> None:
         """Send no more set-ups there; close it once all is ended and what was on its way is heard."""
         if lane in self._lanes:
             COUNTERS.add("server.retired")
+            self.loop.trace("server.connection_retired", server=self._entry.server, lane=lane.number,
+                            reason=f'"{reason}"')  # fmt: skip
             self._lanes.remove(lane)
             self._retired.append(lane)
             self.loop.after(RETIRED_FOR, lambda: self._close_retired(lane))
@@ -211,7 +213,7 @@
         sent, answered = attempt.sent_at, self._answered_sent_at
         overtaken = sent is not None and answered is not None and answered > sent
         if overtaken or outcome is i.Outcome.TIMED_OUT:
-            self._retire(lane)
+            self._retire(lane, "an answer never came")
 
     def _end(self, attempt: Attempt, outcome: i.Outcome, message: Message | None = None) -> None:
         name = attempt.setup.name
@@ -271,6 +273,7 @@
         if self._entry.removed:
             return None
         COUNTERS.add("server.connects")
+        self.loop.trace("server.dial", server=self._entry.server, held=self.connections)
         try:
             lane = Lane(self)
         except OSError as error:
@@ -290,7 +293,7 @@
         if len(self._lanes) > self._room:
             spare = next((other for other in self._lanes if other.free and other is not lane), None)
             if spare is not None:
-                self._retire(spare)
+                self._retire(spare, "more than its server accepts")
         if lane.connection.idle:
             lane.finish_write()
             lane.pump()
@@ -314,7 +317,9 @@
         if how is End.REFUSED and known and not others and self._standing:
             # Its process is gone, and with it the calls that stood there.
             self._standing.clear()
-            self._switch.server_lost(self._entry.server)
+            self._switch.server_lost(self._entry.server, "it refuses connections")
+        self.loop.trace("server.connection_ended", server=self._entry.server, lane=lane.number,
+                        how=f'"{how.value}"', open=len(lane.attempts), retired=not known)  # fmt: skip
         lane.finish_write()
         for attempt in [attempt for attempt in lane.attempts.values() if attempt.sent_at is not None]:
             self._end(attempt, i.Outcome.RESET)
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import socket
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
@@ -47,6 +48,7 @@
 UNWATCHED = 6  # descriptors of a process that its loop does not hear of
 SPARE = 8  # descriptors that nobody holds: what is dialled or accepted next
 LEAST_ROOM = 8  # connections, however many the other process of an upgrade holds
+NUMBERS = itertools.count(1)
 REFUSED, FAILED = 503, 500
 TEST_FAILED = 503
 UNKNOWN_CALL = 481
@@ -92,6 +94,7 @@
 
     def __init__(self, callers: Callers, sock: socket.socket) -> None:
         self._callers, self._switch = callers, callers.switch
+        self.number = next(NUMBERS)  # for the log
         self._actor: Actor[Heard | Lost] = Actor(callers.loop, self._handle)
         self.host = host_of(sock)
         self.told_at = callers.loop.clock.now()
@@ -146,12 +149,15 @@
     def send_release(self, name: str, cause: int) -> None:
         """Write a release here, and remember it until it was heard: that is free, so not for ever."""
         self._byes[name] = cause
+        self._callers.loop.trace("release.sent", call=name, link=self.number, cause=cause)
         if len(self._byes) > UNHEARD_RELEASES:
             del self._byes[next(iter(self._byes))]
         self._write(bye(name, cause), "out.release")
 
-    def close(self) -> None:
+    def close(self, reason: str) -> None:
         """Close it; only where no set-up is open."""
+        self._callers.loop.trace("client.closed", link=self.number, reason=f'"{reason}"',
+                                 open=len(self.open), standing=len(self.standing))  # fmt: skip
         self.connection.close()
         self._forget()
 
@@ -161,7 +167,10 @@
         match item:
             case Heard():
                 self._read()
-            case Lost():
+            case Lost(how):
+                if self.open or self.standing:
+                    self._callers.loop.trace("client.ended", link=self.number, how=f'"{how.value}"',
+                                             open=len(self.open), standing=len(self.standing))  # fmt: skip
                 self._forget()
 
     def _read(self) -> None:
@@ -181,7 +190,7 @@
             except SipError as error:
                 COUNTERS.add("in.malformed")
                 log(f"caller: {error}", "malformed")
-                self.close()
+                self.close(f"cannot be read: {error.status}")
                 return
         if not len(ring):
             self.part_since = None
@@ -304,7 +313,7 @@
         self._strikes += 1
         if self._strikes >= STRIKES and not self.open and not self.standing:
             COUNTERS.add("in.struck_out")
-            self.close()
+            self.close("sends again and again what cannot be taken")
 
     def _bye(self, message: Message) -> None:
         name = name_of(message)
@@ -504,6 +513,7 @@
             self._waiting[name] = cause
         else:
             COUNTERS.add("released.untold")
+            self.loop.trace("release.untold", call=name)
 
     def tell_waiting(self, link: Link) -> None:
         """A connection has brought a set-up: what waited for one is told there."""
@@ -551,7 +561,7 @@
         for link in links:
             if since is not None and not link.connection.ended and link.settled(now, since):
                 COUNTERS.add("in.drained")
-                link.close()
+                link.close("clients are to go")
 
     def _look(self) -> Slices:
         """Close the connections that only take room, some of them a slice."""
@@ -561,7 +571,7 @@
         for place, link in enumerate(list(self._links), 1):
             if link in self._links and link.overdue(now):
                 COUNTERS.add("in.closed")
-                link.close()
+                link.close("silent, stuck or idle for too long")
             if not place % LOOKED_AT:
                 yield
 
@@ -574,7 +584,7 @@
             if claim is Claim.IN_USE or (place and claim > Claim.STALLED):
                 return place > 0
             COUNTERS.add("in.pushed_out")
-            link.close()
+            link.close(f"makes room, {claim.name.lower()}")
         return bool(ranked)
 
     def _accept(self, sock: socket.socket) -> None:
--- a/reedmount/interface.py
+++ b/reedmount/interface.py
@@ -221,12 +221,24 @@
     attempt: int
 
 
+class Reason(Enum):
+    """Why a call is given up."""
+
+    NO_ATTEMPT_LEFT = "no attempt left"
+    FAULTS = "servers answered it with faults"
+    MAY_HAVE_RUN = "may have run and must not run twice"
+    NO_SERVER = "waited for a server in vain"
+    NO_TIME = "no time left for an attempt"
+    SHED = "too many calls wait"
+
+
 @dataclass(frozen=True, slots=True)
 class RefuseCall:
     """Final answer: refused, with advice when to dial again (0 for none)."""
 
     call: int
     retry_after_us: int
+    reason: Reason = Reason.NO_SERVER
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,6 +246,7 @@
     """Final answer: failed."""
 
     call: int
+    reason: Reason = Reason.MAY_HAVE_RUN
 
 
 @dataclass(frozen=True, slots=True)
--- a/reedmount/node.py
+++ b/reedmount/node.py
@@ -178,6 +178,7 @@
         else:
             COUNTERS.add("reload.taken")
             log("configuration read again")
+            self._loop.trace("reload.taken", classes=len(self.switch.settings.classes))
 
     def signalled(self, number: int) -> None:
         """SIGUSR1 prints the counters, SIGHUP reads the configuration; the others end it when all is done."""
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,56 @@
+"""The event log: its lines, its bounds, and that a call can be followed in it by its id."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Callable
+from datetime import timedelta
+
+from reedmount.core.trace import BURST, PER_SECOND, Trace
+from tests.scenario import VirtualTime, digits
+from tests.test_platform import STANDS, Platform
+
+
+def made() -> tuple[VirtualTime, Trace, io.StringIO, list[Callable[[], None]]]:
+    time, out, later = VirtualTime(), io.StringIO(), list[Callable[[], None]]()
+    return time, Trace(time.clock, later.append, out), out, later
+
+
+def test_the_lines_of_one_turn_are_written_at_once() -> None:
+    _, trace, out, later = made()
+    trace("call.stands", call="c1", server="s1")
+    trace("call.released", call="c1", by="server")
+    assert not out.getvalue() and len(later) == 1
+    later[0]()
+    assert out.getvalue().splitlines() == [
+        "t=1800000000.000 event=call.stands call=c1 server=s1",
+        "t=1800000000.000 event=call.released call=c1 by=server",
+    ]
+
+
+def test_a_flood_of_one_event_leaves_lines_out_and_says_how_many() -> None:
+    time, trace, out, _ = made()
+    for number in range(BURST + 50):
+        trace("call.refused", call=number)
+    trace("call.stands", call="other")
+    time.seconds += 1 / PER_SECOND
+    trace("call.refused", call="last")
+    trace.flush()
+    lines = out.getvalue().splitlines()
+    assert len(lines) == BURST + 2, "another event has an allowance of its own"
+    assert lines[-1].endswith("event=call.refused call=last left_out=50")
+
+
+def test_a_call_can_be_followed_by_its_id() -> None:
+    stage = Platform("server")
+    out = io.StringIO()
+    stage.loop.trace._out = out
+    stage.play(STANDS + """
+        server send BYE c1 reason=Q.850;cause=16
+        server expect 200 c1
+        caller expect BYE c1
+    """)
+    stage.wait(timedelta(milliseconds=10))
+    said = [line.partition("event=")[2] for line in out.getvalue().splitlines() if digits("c1") in line]
+    assert [line.split()[0] for line in said] == ["call.stands", "call.released", "release.sent"]
+    assert "server=server" in said[0] and "by=server cause=16" in said[1]
