--- /dev/null
+++ b/reedmount/core/liveness.py
@@ -0,0 +1,53 @@
+"""Whether a peer that holds something for us is still there, judged by what is heard of it.
+
+Pure: instants come in with each call. Silence alone says nothing, since a peer with no news is silent too: a
+peer that was quiet for a while is tested, and what counts is a test that was not answered.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+QUIET = timedelta(seconds=1)  # with nothing heard for so long, a peer is tested
+TEST_WAIT = timedelta(milliseconds=1500)  # for an answer to a test; then it is tested again
+DEAD = timedelta(milliseconds=7400)  # of silence under tests; what is over has to be told 8 s after its end
+LEAST_TESTED = timedelta(seconds=4)  # of this silence a test has gone unanswered
+
+
+@dataclass(slots=True)
+class Liveness:
+    """What was heard of one peer, and what it was asked."""
+
+    heard_at: datetime
+    first_asked_at: datetime | None = None  # of the tests that are not answered
+    last_asked_at: datetime | None = None
+
+    def heard(self, at: datetime) -> None:
+        """Something came: whatever was asked is answered, since a test only shows that the peer is there."""
+        if at > self.heard_at:
+            self.heard_at = at
+        if self.first_asked_at is not None and at >= self.first_asked_at:
+            self.first_asked_at = self.last_asked_at = None
+
+    def asked(self, at: datetime) -> None:
+        """A test was sent, or could not be for want of a connection that comes up."""
+        if self.first_asked_at is None:
+            self.first_asked_at = at
+        self.last_asked_at = at
+
+    def suspect(self, now: datetime) -> bool:
+        """Whether a test has gone unanswered for longer than an answer takes."""
+        return self.first_asked_at is not None and now - self.first_asked_at >= TEST_WAIT
+
+    def dead(self, now: datetime) -> bool:
+        """Whether what it held is to be counted as lost."""
+        if self.first_asked_at is None or now - self.first_asked_at < LEAST_TESTED:
+            return False
+        return now - self.heard_at >= DEAD
+
+    def test_due(self, now: datetime) -> bool:
+        """Whether it is to be tested now."""
+        if now - self.heard_at < QUIET:
+            return False
+        return self.last_asked_at is None or now - self.last_asked_at >= TEST_WAIT
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -286,11 +286,20 @@
         for call in list(self._by_number.values()):
             older = before is None or call.sent_at is None or call.sent_at < before
             if call.standing and call.server == server and older:
-                COUNTERS.add("released.server_lost")
-                self._trace("call.released", call=call.offer.name, server=server, by="border controller",
-                            cause=CUT, reason=f'"{reason}"')  # fmt: skip
-                call.caller.released(call.offer.name, CUT)
-                self._end_standing(call, i.Outcome.RESET, NO_REPORT)
+                self._lose(call, reason)
+
+    def call_lost(self, name: str, server: str, reason: str) -> None:
+        """Nothing more is to be heard of a call that stood at a server: it is cut."""
+        call = self._by_name.get(name)
+        if call is not None and call.standing and call.server == server:
+            self._lose(call, reason)
+
+    def _lose(self, call: Call, reason: str) -> None:
+        COUNTERS.add("released.server_lost")
+        self._trace("call.released", call=call.offer.name, server=call.server, by="border controller",
+                    cause=CUT, reason=f'"{reason}"')  # fmt: skip
+        call.caller.released(call.offer.name, CUT)
+        self._end_standing(call, i.Outcome.RESET, NO_REPORT)
 
     def cut(self, name: str) -> None:
         """A call that stands is ended towards both sides, whatever else did so: another has it now."""
--- a/reedmount/fronts/lane.py
+++ b/reedmount/fronts/lane.py
@@ -11,6 +11,7 @@
 
 from reedmount.core.actors import Timer
 from reedmount.core.checks import COUNTERS
+from reedmount.core.liveness import Liveness
 from reedmount.core.ports import Setup
 from reedmount.net.connection import Address, Connection, End
 from reedmount.net.loop import Loop
@@ -56,6 +57,7 @@
     counter: str
     written: Callable[[], None] | None = None
     attempt: Attempt | None = None  # a set-up, which a drain takes back
+    test: bool = False  # it is no use of the connection, and needs no other where this one ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +120,7 @@
         self.writing: Callable[[], None] | None = None
         self._clock, self._terms = server.loop.clock, server.terms
         self._used_at = self._clock.now()  # when a message other than unasked news went here or came
+        self.liveness = Liveness(self._used_at)
         self.connection = Connection.dial(
             server.loop, server.address, server.terms.connect_wait,
             lambda _: server.post(Data(self)),
@@ -140,6 +143,11 @@
         """A message of a call has come."""
         self._used_at = self._clock.now()
 
+    @property
+    def open(self) -> bool:
+        """Whether something can still be queued here."""
+        return not self.connection.ended
+
     def queue(self, item: Outgoing, first: bool = False) -> None:
         """Put it in line; a message begins to be written only once those before it are wholly out."""
         if first:
@@ -154,7 +162,8 @@
             item = self.outbox.popleft()
             COUNTERS.add(item.counter)
             self.writing = item.written or (lambda: None)
-            self.used()
+            if not item.test:
+                self.used()
             if item.attempt is not None:
                 item.attempt.sent_at = self._clock.now()
             self.connection.send(item.data)
--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 
 from reedmount import interface as i
@@ -12,7 +13,8 @@
 from reedmount.core.ports import CUT, CancelSetup, Listed, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.lane import Attempt, Data, Down, Lane, Outgoing, Terms, Up
-from reedmount.fronts.thin import CAUSES, ID, OUTCOMES, bye, cause_of, plain, report_of, sound
+from reedmount.fronts.standing import StandingCalls
+from reedmount.fronts.thin import CAUSES, ID, OUTCOMES, bye, cause_of, plain, report_of, sound, test
 from reedmount.net.connection import Address, End
 from reedmount.net.loop import Loop
 from reedmount.sip.framing import next_message
@@ -49,7 +51,7 @@
         self._attempts: dict[str, Attempt] = {}
         self._past: dict[str, None] = {}  # attempts that were given up: a late answer is released
         self._late_byes: deque[Outgoing] = deque(maxlen=KEPT_PAST)  # for which no connection was to be had
-        self._standing: dict[str, Lane] = {}
+        self.standing = StandingCalls(self)
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
         self._retry = FIRST_RETRY
         self._retrying = False
@@ -68,6 +70,46 @@
         """How many descriptors it holds."""
         return len(self._lanes) + len(self._retired)
 
+    # --- what its standing calls ask for ---
+
+    def open_lanes(self) -> list[Lane]:
+        """The connections that are up, those that are used no more as well."""
+        return [lane for lane in (*self._lanes, *self._retired) if lane.connection.up]
+
+    def test(self, lane: Lane) -> None:
+        """Send a test: what comes back, whatever it is, shows that the connection works."""
+        lane.queue(Outgoing(test(), "out.server.OPTIONS", test=True))
+
+    def give_up(self, lane: Lane) -> None:
+        """Close a connection that is silent while others are not: what is owed comes on the next one."""
+        COUNTERS.add("server.lane_silent")
+        self.loop.trace("server.connection_silent", server=self._entry.server, lane=lane.number)
+        lane.connection.close()
+        self._down(lane, End.RESET)
+
+    def reconnect(self) -> None:
+        """Nothing comes on any connection: set-ups go there no more, and a new one is tried."""
+        COUNTERS.add("server.unheard")
+        silence = self.loop.clock.now() - self.standing.server.heard_at
+        self.loop.trace("server.unheard", server=self._entry.server, standing=len(self.standing),
+                        silent_ms=whole_millis(silence))  # fmt: skip
+        for lane in [lane for lane in self._lanes if lane.connection.up]:
+            self._retire(lane, "its server is silent")
+        if not self._lanes and self._side.may_widen():
+            self._dial()
+
+    def lose(self, calls: Iterable[tuple[str, Lane | None]], reason: str) -> None:
+        """Calls of ours count as over; should their server still have them, it is told."""
+        for name, lane in calls:
+            self._switch.call_lost(name, self._entry.server, reason)
+            item = Outgoing(bye(name, CUT), "out.server.BYE")
+            if lane is not None and lane.open:
+                lane.queue(item)
+            else:
+                self._late_byes.append(item)
+
+    # --- what is to be done ---
+
     def _handle(self, word: Word) -> None:
         match word:
             case Setup():
@@ -108,7 +150,7 @@
     def _abandon(self) -> None:
         """The machine is gone: nothing will be heard on its connections."""
         lanes, self._lanes, self._retired = [*self._lanes, *self._retired], [], []
-        self._standing.clear()
+        self.standing.clear()
         self._late_byes.clear()
         for lane in lanes:
             lane.connection.close()
@@ -177,7 +219,7 @@
         """First only say that no more comes: a release may be on its way, and closing would lose it."""
         if lane not in self._retired:
             return
-        used = lane.attempts or lane.outbox or lane in self._standing.values()
+        used = lane.attempts or lane.outbox or self.standing.on(lane)
         if not finished and not used:
             lane.connection.finish()
         if not finished or used:
@@ -251,7 +293,7 @@
                         return
 
     def _release(self, name: str, cause: int) -> None:
-        lane = self._standing.pop(name, None)
+        lane = self.standing.pop(name)
         self._say(Outgoing(bye(name, cause), "out.server.BYE"), lane)
 
     def _say(self, item: Outgoing, lane: Lane | None = None) -> None:
@@ -311,12 +353,13 @@
         # One closed as soon as it is up, by a server that holds all it accepts, is no connection either.
         brief = self.loop.clock.now() - lane.connection.opened_at < FIRST_RETRY
         others = any(other.connection.up for other in self._lanes)
+        self.standing.ended(lane)
         if known and (never or brief) and others:
             self._room = max(1, len(self._lanes))  # it accepts no more just now
             self.loop.after(SPARE_AFTER, self._widen)
-        if how is End.REFUSED and known and not others and self._standing:
+        if how is End.REFUSED and known and not self.open_lanes() and self.standing:
             # Its process is gone, and with it the calls that stood there.
-            self._standing.clear()
+            self.standing.clear()
             self._switch.server_lost(self._entry.server, "it refuses connections")
         self.loop.trace("server.connection_ended", server=self._entry.server, lane=lane.number,
                         how=f'"{how.value}"', open=len(lane.attempts), retired=not known)  # fmt: skip
@@ -325,14 +368,14 @@
             self._end(attempt, i.Outcome.RESET)
         self._unload(lane, never and not others)
         if never or brief:
-            if brief and self._standing:
+            if brief and self.standing:
                 self._owed = self.loop.clock.now()
-            if not self._lanes and (self._standing or self._late_byes):
+            if not self._lanes and (self.standing or self._late_byes):
                 self._connect_later()
             elif self._owed is not None:
                 self._renew_later()
         elif how is not End.CLOSED or known and not self._lanes:
-            self._owed, self._renewals = self.loop.clock.now() if self._standing else None, 0
+            self._owed, self._renewals = self.loop.clock.now() if self.standing else None, 0
             self._renew()  # of several that were idle for too long, those closed are not opened again
 
     def _renew(self) -> None:
@@ -340,7 +383,7 @@
 
         That one may come up late, or never, or break as well: there is another until one has lived.
         """
-        if not (self._entry.serving or self._standing or self._late_byes):
+        if not (self._entry.serving or self.standing or self._late_byes):
             return
         if len(self._lanes) > self._room or self._lanes and not self._side.may_widen():
             self._renew_later()
@@ -364,6 +407,8 @@
         items, lane.outbox = list(lane.outbox), deque()
         for item in items:
             attempt = item.attempt
+            if item.test:
+                continue
             if attempt is None:
                 if item.written is None:
                     self._late_byes.append(item)  # a CANCEL has nothing to stop any more
@@ -394,12 +439,13 @@
 
     def _again(self) -> None:
         self._retrying = False
-        if (self._late_byes or self._standing) and not self._lanes:
+        if (self._late_byes or self.standing) and not self._lanes:
             self._dial()
 
     # --- what comes in ---
 
     def _read(self, lane: Lane) -> None:
+        self.standing.heard(lane)
         ring = lane.connection.incoming
         while not lane.connection.ended:
             try:
@@ -446,10 +492,11 @@
             report = report_of(message)
             if report is not NO_REPORT:
                 self._switch.reported(self._entry.server, report)
+                self.standing.reported(report)
         elif message.method == "BYE":
             lane.connection.send(response(message, 200).encode())
             if ID.fullmatch(message.call_id):
-                self._standing.pop(message.call_id, None)
+                self.standing.pop(message.call_id)
                 self._switch.server_released(
                     message.call_id, cause_of(message), report_of(message), self._entry.server
                 )
@@ -476,7 +523,7 @@
         del self._attempts[name]
         stands = self._switch.stands(name, attempt.setup.attempt, message.body)
         if stands:
-            self._standing[name] = lane
+            self.standing.add(name, lane)
         self._let_go(attempt)
         if not stands:
             self._release_late(lane, name)
@@ -487,7 +534,7 @@
         A late one is released: nobody has that call. A release for a copy would cut the call that stands.
         """
         if message.status < 300 and name in self._past and name not in self._attempts and (
-            name not in self._standing
+            name not in self.standing
         ):  # fmt: skip
             del self._past[name]
             lane.connection.send(plain("ACK", f"sip:{name}@net", name))
--- a/reedmount/fronts/thin.py
+++ b/reedmount/fronts/thin.py
@@ -40,6 +40,12 @@
     return request(method, uri, [("Via", via), ("Call-ID", name), ("CSeq", f"1 {method}")]).encode()
 
 
+def test() -> bytes:
+    """A test of the connection."""
+    headers = [("Via", "SIP/2.0/TCP reedmount"), ("Call-ID", "test"), ("CSeq", "1 OPTIONS")]
+    return request("OPTIONS", "sip:ping@net", headers).encode()
+
+
 def cause_of(message: Message) -> int:
     """The cause in a release's Reason header; without one the call is taken as ended normally."""
     for part in (message.get("Reason") or "").split(";"):
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -77,6 +77,7 @@
         self.rings: dict[socket.socket, Ring] = {}
         self.came: dict[int, socket.socket] = {}  # where a message was heard
         self.listener: socket.socket | None = None
+        self.answers = True  # tests; a silent one takes them and says nothing
         if kind == "udp":
             self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             self.sock.bind((HOST, 0))
@@ -105,11 +106,15 @@
                 watched.remove(sock)
                 self.inbox.append(Message(method="CLOSED"))
             else:
-                self.sock = sock
+                before, self.sock = self.sock, sock
                 self.rings[sock].write(data)
                 while (message := next_message(self.rings[sock])) is not None:
                     self.came[id(message)] = sock
-                    self.take(message)
+                    if self.passes_test(message):
+                        sock.sendall(response(message, 200).encode())
+                        self.sock = before or sock
+                    else:
+                        self.take(message)
         return busy
 
     def drop(self, sock: socket.socket) -> None:
@@ -118,6 +123,11 @@
         if self.sock is sock:
             self.sock = next(reversed(self.rings), None)
 
+    def passes_test(self, message: Message) -> bool:
+        """A call server of the platform passes a test at once; scenarios need no line for it."""
+        serves = self.kind == "thin" and self.listener is not None and self.answers
+        return serves and message.method == "OPTIONS"
+
     def take(self, message: Message) -> None:
         self.inbox.append(message)
         tag = parameter(message.get("From" if message.is_request else "To") or "", "tag")
