Give each border controller its own addresses of the soak's call servers

Cause: a stand-in sent a release on any open connection, of whichever border controller; the platform's are set aside for each.

--- a/standins/soak/board.py
+++ b/standins/soak/board.py
@@ -33,7 +33,7 @@
 
     number: int
     at: float
-    hosts: list[dict[str, Any]]
+    hosts: list[dict[str, Any]]  # "dial" has an address for each border controller
     told: set[str] = field(default_factory=set)
 
 
@@ -86,9 +86,9 @@
                     writer.transport.abort()
         self._wake()
 
-    def known(self) -> dict[str, Any]:
+    def known(self, node: str) -> dict[str, Any]:
         """What a configuration written now knows."""
-        return self._body(0)
+        return self._body(node, 0)
 
     def left_at(self, node: str, server: str) -> float:
         """When a border controller was told, or counts as told, that a call server drains or is gone."""
@@ -105,11 +105,12 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _body(self, after: int) -> dict[str, Any]:
-        told = [
-            {"rev": n.number, "pool": {"seq": n.number, "whole": n.number == 1, "hosts": n.hosts}}
-            for n in self.notices[after:]
-        ]
+    def _body(self, node: str, after: int) -> dict[str, Any]:
+        told = []
+        for notice in self.notices[after:]:
+            hosts = [{**host, "dial": host["dial"][node]} for host in notice.hosts]
+            pool = {"seq": notice.number, "whole": notice.number == 1, "hosts": hosts}
+            told.append({"rev": notice.number, "pool": pool})
         return {"rev": len(self.notices), "notices": told}
 
     async def _serve(self, node: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -142,7 +143,7 @@
                 break
         if self.mood is Mood.SLOW:
             await asyncio.sleep(self._chance.uniform(0.3, 1.2))
-        body = json.dumps(self._body(after)).encode()
+        body = json.dumps(self._body(node, after)).encode()
         answer = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         data = answer.encode() + body
         if self.mood is Mood.BREAKING:
--- a/standins/soak/callserver.py
+++ b/standins/soak/callserver.py
@@ -60,9 +60,10 @@
 class ServerStream(wire.MessageStream):
     """One connection from a border controller."""
 
-    def __init__(self, server: CallServer) -> None:
+    def __init__(self, server: CallServer, node: str) -> None:
         super().__init__()
         self._server = server
+        self.node = node
         self.open_setups: set[str] = set()
         self.held_back: list[tuple[bytes, str]] = []  # with the call that it releases
 
@@ -102,12 +103,51 @@
             self.transport.resume_reading()
 
 
+class Door:
+    """The address at which one border controller reaches a call server."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server((HOST, 0), backlog=BACKLOG)
+        self.listener.setblocking(False)
+        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        self.task: asyncio.Task[None] | None = None
+        self._fillers: list[socket.socket] = []
+
+    def stop(self) -> None:
+        """Accept no more; the system still does."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def block(self) -> None:
+        """Fill the backlog: the system answers no further connection."""
+        self.listener.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self._fillers.append(filler)
+
+    def unblock(self) -> None:
+        """Connections come up again."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self.listener.listen(BACKLOG)
+
+    def close(self) -> None:
+        """Listen no more."""
+        self.stop()
+        for sock in [self.listener, *self._fillers]:
+            sock.close()
+
+
 @dataclass(eq=False)
 class CallServer:
-    """One call server at an address of its own."""
+    """One call server; it has an address for each border controller."""
 
     name: str
     number: int
+    nodes: list[str]
     history: History
     chance: random.Random
     manners: Manners = field(default_factory=Manners)
@@ -119,16 +159,15 @@
     def __post_init__(self) -> None:
         """Listen."""
         self._loop = asyncio.get_running_loop()
-        self._listener = socket.create_server((HOST, 0), backlog=BACKLOG)
-        self._listener.setblocking(False)
-        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
-        self._fillers: list[socket.socket] = []
+        self._doors = {node: Door() for node in self.nodes}
+        self.addresses = {node: door.address for node, door in self._doors.items()}
         self._healed_at = -NEVER
         self._streams: list[ServerStream] = []
         self.standing: dict[str, Standing] = {}
         self._unheard: dict[str, int] = {}  # releases not confirmed: they come again on the next connection
         self._delayed: list[str] = []  # calls whose end came while it hung
-        self._tasks = [self._loop.create_task(self._accept()), self._loop.create_task(self._report())]
+        self._reporting = self._loop.create_task(self._report())
+        self._open_doors()
 
     @property
     def silent(self) -> bool:
@@ -137,12 +176,11 @@
 
     def close(self) -> None:
         """End all."""
-        for task in self._tasks:
-            task.cancel()
+        self._reporting.cancel()
         for stream in list(self._streams):
             stream.reset()
-        for sock in [self._listener, *self._fillers]:
-            sock.close()
+        for door in self._doors.values():
+            door.close()
 
     # --- faults ---
 
@@ -164,7 +202,8 @@
     def die(self) -> None:
         """The process dies: the system resets what it had open."""
         self._quiet(State.DEAD)
-        self._listener.close()
+        for door in self._doors.values():
+            door.close()
         for stream in list(self._streams):
             stream.reset()
         self._lose_calls()
@@ -176,16 +215,14 @@
         self.state, self.busy = State.SERVING, False
         self._healed_at = self.history.now
         self.history.tell(f"{self.name} goes on")
-        for filler in self._fillers:
-            filler.close()
-        self._fillers.clear()
-        self._listener.listen(BACKLOG)
+        for door in self._doors.values():
+            door.unblock()
         for stream in list(self._streams):
             stream.flush()
         delayed, self._delayed = self._delayed, []
         for name in delayed:
             self._end(name)
-        self._tasks[0] = self._loop.create_task(self._accept())
+        self._open_doors()
 
     def reset_some(self) -> None:
         """Reset one of the connections, whatever is open on it."""
@@ -201,19 +238,15 @@
     def _quiet(self, state: State) -> None:
         self.state = state
         self.history.tell(f"{self.name} is {state.value}, {len(self.standing)} calls stand there")
-        self._tasks[0].cancel()
+        for door in self._doors.values():
+            door.stop()
         for stream in self._streams:
             if stream.open:
                 stream.transport.pause_reading()
 
     def _block(self) -> None:
-        """Fill the backlog: the system answers no further connection."""
-        self._listener.listen(0)
-        for _ in range(FILLERS):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self._listener.getsockname())
-            self._fillers.append(filler)
+        for door in self._doors.values():
+            door.block()
 
     def _lose_calls(self) -> None:
         for name, standing in list(self.standing.items()):
@@ -225,10 +258,14 @@
 
     # --- connections ---
 
-    async def _accept(self) -> None:
+    def _open_doors(self) -> None:
+        for node, door in self._doors.items():
+            door.task = self._loop.create_task(self._accept(node, door))
+
+    async def _accept(self, node: str, door: Door) -> None:
         while True:
-            sock, _ = await self._loop.sock_accept(self._listener)
-            await self._loop.connect_accepted_socket(lambda: ServerStream(self), sock)
+            sock, _ = await self._loop.sock_accept(door.listener)
+            await self._loop.connect_accepted_socket(lambda: ServerStream(self, node), sock)
 
     def accepted(self, stream: ServerStream) -> None:
         """A connection is up: the state of the lines comes first on it, then what was not heard before."""
@@ -238,7 +275,8 @@
         self._streams.append(stream)
         stream.say(wire.state_of_lines(LINES - len(self.standing), LINES))
         for name, cause in self._unheard.items():
-            stream.say(wire.release(name, cause), name)
+            if self.history.calls[name].node == stream.node:
+                stream.say(wire.release(name, cause), name)
 
     def lost(self, stream: ServerStream) -> None:
         """A connection has ended: its open set-ups are given up."""
@@ -253,9 +291,14 @@
             if self.silent or len(self.standing) == last:
                 continue
             last = len(self.standing)
-            for stream in self._streams[:REPORTED_CONNECTIONS]:
+            for stream in self._reported():
                 stream.say(wire.state_of_lines(LINES - last, LINES))
 
+    def _reported(self) -> list[ServerStream]:
+        """The connections that reports go to: some of each border controller."""
+        by_node = [[stream for stream in self._streams if stream.node == node] for node in self.nodes]
+        return [stream for streams in by_node for stream in streams[:REPORTED_CONNECTIONS]]
+
     # --- calls ---
 
     def take(self, stream: ServerStream, message: Message) -> None:
@@ -366,7 +409,8 @@
         cause = wire.CALL_ENDED if self.chance.random() < 0.9 else wire.CALL_CUT
         self._over(name)
         self._unheard[name] = cause
-        streams = [standing.stream, *self._streams]
+        others = [stream for stream in self._streams if stream.node == standing.stream.node]
+        streams = [standing.stream, *others]
         stream = next((stream for stream in streams if stream.open), None)
         if stream is not None:
             stream.say(wire.release(name, cause), name)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -114,7 +114,7 @@
             config = {
                 "name": name, "listen": f"{host}.{number}:{PORT}",
                 "seed": f"{self._chance.getrandbits(32):x}", "limits": {"sockets": SOCKETS},
-                "board": await self.board.open_for(name), "known": self.board.known(),
+                "board": await self.board.open_for(name), "known": self.board.known(name),
                 "settings": settings_for(self.classes, len(self._names)),
             }  # fmt: skip
             node = Node(name, (f"{host}.{number}", PORT), self._folder, config)
@@ -146,7 +146,8 @@
         fresh = []
         for _ in range(count):
             number = len(self.servers) + 1
-            fresh.append(CallServer(f"s{number}", number, self.history, self._fork(f"server {number}")))
+            chance = self._fork(f"server {number}")
+            fresh.append(CallServer(f"s{number}", number, self._names, self.history, chance))
             self.servers.append(fresh[-1])
         born = 0 if len(self.servers) == count else int(time.time() * 1000)
         self.board.say(*(self._host(server, "SERVING", born) for server in fresh))
@@ -158,7 +159,7 @@
 
     @staticmethod
     def _host(server: CallServer, state: str, born_ms: int) -> dict[str, Any]:
-        return {"host": server.name, "dial": server.address, "site": "here", "class": "std",
+        return {"host": server.name, "dial": server.addresses, "site": "here", "class": "std",
                 "block": server.number, "health": state, "share": 4, "born_ms": born_ms}  # fmt: skip
 
     def some_servers(self, chance: random.Random, most: int = 3) -> list[CallServer]:
@@ -195,7 +196,7 @@
         await self.sleep(0.05)
         clients.killed = False
         clients.life += 1
-        node.config["known"] = self.board.known()
+        node.config["known"] = self.board.known(node.name)
         node.start()
         await self._until_ready(node.name)
         self._restarting.discard(node.name)
