Tell releases past silent clients, broken connections and closes that cross

Class: an end that hangs on one connection, or on its close being read. Change: where clients confirm releases, one that is not confirmed in 0.3 s goes on another connection too (three at most); calls of a broken connection hang on another that is heard; releases that a server has not confirmed come again when their connection ends within 1 s; client connections are closed softly (no more is sent, what still comes is dropped, 0.1 s).

--- a/reedmount/fronts/lane.py
+++ b/reedmount/fronts/lane.py
@@ -17,6 +17,8 @@
 from reedmount.net.loop import Loop
 from reedmount.sip.message import Message
 
+UNCONFIRMED = 64  # releases remembered on a connection
+READ_WITHIN = timedelta(seconds=1)  # a release that was sent longer ago has been read
 NUMBERS = itertools.count(1)
 FRESH = 0.75  # of the time after which a call server closes an idle connection: until then it is used
 
@@ -57,6 +59,7 @@
     counter: str
     written: Callable[[], None] | None = None
     attempt: Attempt | None = None  # a set-up, which a drain takes back
+    release: str = ""  # the call that it releases: sent again where the connection ends unconfirmed
     test: bool = False  # it is no use of the connection, and needs no other where this one ends
 
 
@@ -117,6 +120,7 @@
         self.attempts: dict[str, Attempt] = {}  # queued or sent here
         self.answered: deque[str] = deque(maxlen=16)  # a second copy may follow
         self.partial = False  # a message has begun and not ended, and is looked after
+        self.releases: dict[str, tuple[datetime, Outgoing]] = {}  # sent and not confirmed, the oldest first
         self.writing: Callable[[], None] | None = None
         self._clock, self._terms = server.loop.clock, server.terms
         self._used_at = self._clock.now()  # when a message other than unasked news went here or came
@@ -164,12 +168,21 @@
             self.writing = item.written or (lambda: None)
             if not item.test:
                 self.used()
+            if item.release:
+                self.releases[item.release] = (self._clock.now(), item)
+                if len(self.releases) > UNCONFIRMED:
+                    del self.releases[next(iter(self.releases))]
             if item.attempt is not None:
                 item.attempt.sent_at = self._clock.now()
             self.connection.send(item.data)
             if self.connection.idle:
                 self.finish_write()
 
+    def lost_releases(self) -> list[Outgoing]:
+        """Those that were sent so shortly before its end that they may not have been read."""
+        since = self._clock.now() - READ_WITHIN
+        return [item for at, item in self.releases.values() if at >= since]
+
     def finish_write(self) -> None:
         """What was being written is out."""
         done, self.writing = self.writing, None
--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -113,7 +113,7 @@
         """Calls of ours count as over; should their server still have them, it is told."""
         for name, lane in calls:
             self._switch.call_lost(name, self._entry.server, reason)
-            item = Outgoing(bye(name, CUT), "out.server.BYE")
+            item = Outgoing(bye(name, CUT), "out.server.BYE", release=name)
             if lane is not None and lane.open:
                 lane.queue(item)
             else:
@@ -310,7 +310,7 @@
 
     def _release(self, name: str, cause: int) -> None:
         lane = self.standing.pop(name)
-        self._say(Outgoing(bye(name, cause), "out.server.BYE"), lane)
+        self._say(Outgoing(bye(name, cause), "out.server.BYE", release=name), lane)
 
     def _say(self, item: Outgoing, lane: Lane | None = None) -> None:
         """Send what concerns a call that stands on its lane, else on any."""
@@ -345,6 +345,7 @@
         return lane
 
     def _up(self, lane: Lane) -> None:
+        self.standing.opened(lane)
         self._retry = FIRST_RETRY
         self._met = True
         if self._owed is not None and lane.connection.opened_at >= self._owed:
@@ -383,6 +384,7 @@
         lane.finish_write()
         for attempt in [attempt for attempt in lane.attempts.values() if attempt.sent_at is not None]:
             self._end(attempt, i.Outcome.RESET)
+        self._late_byes.extend(lane.lost_releases())
         self._unload(lane, never and not others)
         if never or brief:
             if brief and self.standing:
@@ -501,6 +503,8 @@
 
     def _take(self, lane: Lane, message: Message) -> None:
         if not message.is_request:
+            if message.cseq[1] == "BYE":
+                lane.releases.pop(message.call_id, None)
             if message.cseq[1] == "INVITE" and message.status >= 200:
                 self._answer(lane, message)
             return
@@ -565,7 +569,7 @@
         COUNTERS.add("server.late_answers")
         if self._switch.goes_on(name, self._entry.server):
             return
-        self._say(Outgoing(bye(name, CUT), "out.server.BYE"), lane)
+        self._say(Outgoing(bye(name, CUT), "out.server.BYE", release=name), lane)
 
 
 def _may_begin(data: bytes) -> bool:
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -38,8 +38,11 @@
 SETTLED = timedelta(milliseconds=30)  # with nothing open and nothing said, until a drain closes a connection
 LOOK_AT_END = timedelta(milliseconds=5)  # at connections, once all of them are to be closed
 SILENT_AT_END = timedelta(milliseconds=100)  # a new connection has brought nothing for so long
-LAST_ACCEPT = timedelta(milliseconds=60)  # a set-up that crossed a close comes again on a new connection
+LINGERS = timedelta(milliseconds=100)  # a connection that is closed softly, until its client closes too
+LAST_ACCEPT = timedelta(milliseconds=120)  # a set-up that crossed a close comes again on a new connection
 KEPT_RELEASES = 4096
+CONFIRMED_WITHIN = timedelta(milliseconds=300)  # a release; it has to be told within a second
+RELEASE_TRIES = 3  # connections that a release is sent on
 UNHEARD_RELEASES = 256  # for each connection
 MOST_OPEN = 128  # set-ups on one connection
 UNPROVEN_OPEN = 16  # on one on which no call has stood yet
@@ -155,11 +158,22 @@
             del self._byes[next(iter(self._byes))]
         self._write(bye(name, cause), "out.release")
 
-    def close(self, reason: str) -> None:
-        """Close it; only where no set-up is open."""
+    def awaits(self, name: str) -> bool:
+        """Whether a release sent here was not confirmed yet."""
+        return name in self._byes
+
+    def release_heard(self, name: str) -> None:
+        """It was confirmed, here or elsewhere."""
+        self._byes.pop(name, None)
+
+    def close(self, reason: str, softly: bool = False) -> None:
+        """Close it; only where no set-up is open. Softly: what was sent is read whatever the client sends."""
         self._callers.loop.trace("client.closed", link=self.number, reason=f'"{reason}"',
                                  open=len(self.open), standing=len(self.standing))  # fmt: skip
-        self.connection.close()
+        if softly:
+            self.connection.close_softly(LINGERS)
+        else:
+            self.connection.close()
         self._forget()
 
     # what comes in
@@ -258,8 +272,9 @@
 
     def _take(self, message: Message) -> None:
         if not message.is_request:
-            if message.cseq[1] == "BYE":
-                self._byes.pop(message.call_id, None)
+            if message.cseq[1] == "BYE" and message.call_id in self._byes:
+                self._byes.pop(message.call_id)
+                self._callers.release_heard(message.call_id)
             return
         COUNTERS.add(f"in.caller.{message.method if message.method in KNOWN else 'other'}")
         match message.method:
@@ -411,6 +426,8 @@
         self.homes: dict[str, Link] = {}  # where calls that stand were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
         self.listener = Listener(loop, given or bind(address, shared=True), self._accept)
+        self._unheard: dict[str, list[Link]] = {}  # releases not confirmed, and where they were sent
+        self._confirming = False  # clients confirm releases: that is free
         self._emptying = False
         switch.lifecycle.on_change(self._empty)
         if given is None:
@@ -518,6 +535,7 @@
             link = max(able, key=lambda other: other.fitness(host), default=None)
         if link is not None:
             link.send_release(name, cause)
+            self._expect_heard(name, cause, link)
         elif not here and self.handed_over and self.twin.tell("release", name=name, cause=cause):
             return  # no connection comes here any more
         elif len(self._waiting) < KEPT_RELEASES:
@@ -526,6 +544,32 @@
             COUNTERS.add("released.untold")
             self.loop.trace("release.untold", call=name)
 
+    def _expect_heard(self, name: str, cause: int, link: Link) -> None:
+        """A connection may be silently dead: what is not confirmed there in time goes another way as well."""
+        tried = self._unheard.setdefault(name, [])
+        tried.append(link)
+        if len(self._unheard) > KEPT_RELEASES:
+            del self._unheard[next(iter(self._unheard))]
+        self.loop.after(CONFIRMED_WITHIN, lambda: self._look_unheard(name, cause))
+
+    def _look_unheard(self, name: str, cause: int) -> None:
+        tried = self._unheard.get(name, [])
+        waiting = any(link.awaits(name) for link in tried)
+        able = [link for link in self._links if link.set_ups and link not in tried]
+        if not waiting or not self._confirming or len(tried) >= RELEASE_TRIES or not able:
+            self._unheard.pop(name, None)  # heard, or left to the end of the connections that it was sent on
+            return
+        COUNTERS.add("released.unconfirmed")
+        link = max(able, key=lambda other: other.connection.heard_at)
+        link.send_release(name, cause)
+        self._expect_heard(name, cause, link)
+
+    def release_heard(self, name: str) -> None:
+        """A client has confirmed a release."""
+        self._confirming = True
+        for link in self._unheard.pop(name, ()):
+            link.release_heard(name)
+
     def is_untold(self, name: str) -> bool:
         """Whether a release waits for a connection that this process will not see any more."""
         return name in self._waiting and self.switch.lifecycle.phase is Phase.ENDING
@@ -584,7 +628,7 @@
         for link in links:
             if departure is not None and not link.connection.ended and link.settled(now, departure):
                 COUNTERS.add("in.drained")
-                link.close("clients are to go")
+                link.close("clients are to go", softly=True)
 
     def _look(self) -> Slices:
         """Close the connections that only take room, some of them a slice."""
@@ -594,7 +638,7 @@
         for place, link in enumerate(list(self._links), 1):
             if link in self._links and link.overdue(now):
                 COUNTERS.add("in.closed")
-                link.close("silent, stuck or idle for too long")
+                link.close("silent, stuck or idle for too long", softly=True)
             if not place % LOOKED_AT:
                 yield
 
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -132,10 +132,7 @@
         if self.ended:
             return
         self.ended, self.up = True, False
-        if self._timer is not None:
-            self._timer.cancel()
-        self._loop.unwatch(self._sock.fileno())
-        self._sock.close()
+        self._close_socket()
         tell = self._on_end
         # Nothing is left that goes round in circles: a day of brief connections is no work for the collector.
         self._on_data = self._on_sent = _nothing
@@ -143,6 +140,43 @@
         if end is not End.OURS:
             tell(self, end)
 
+    def close_softly(self, longest: timedelta) -> None:
+        """Say that no more comes, and drop what the peer still sends until it closes or the time is over.
+
+        Closing at once answers what is on its way with a reset, and the peer may never read what came before.
+        Nobody is told of anything any more.
+        """
+        if self.ended or not self.idle:
+            self.close()
+            return
+        self.ended, self.up = True, False
+        self._on_data = self._on_sent = _nothing
+        self._on_end = _nobody
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close_socket()
+            return
+        self._loop.watch(self._sock.fileno(), READ | GONE, self._drop_rest, self._urgent)
+        self._timer = self._loop.after(longest, self._close_socket)
+
+    def _drop_rest(self, _: int) -> None:
+        try:
+            if self._sock.recv(CHUNK):
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            pass
+        self._close_socket()
+
+    def _close_socket(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._sock.fileno() >= 0:
+            self._loop.unwatch(self._sock.fileno())
+            self._sock.close()
+
     def finish(self) -> None:
         """Send no more and say so; what the peer has sent until it closes as well is still read."""
         if self.up and not self.ended:
