--- a/standins/soak/callserver.py
+++ b/standins/soak/callserver.py
@@ -261,7 +261,8 @@
 
     def _quiet(self, state: State) -> None:
         self.state = state
-        for attempt in self._out.values():
+        attempts = [attempt for name in self.standing for attempt in self.history.calls[name].attempts]
+        for attempt in [*self._out.values(), *attempts]:
             attempt.disturbed = True
         self.history.tell(f"{self.name} is {state.value}, {len(self.standing)} calls stand there")
         for door in self._doors.values():
