--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -158,6 +158,7 @@
         number = len(self.servers) + 1
         chance = self._fork(f"server {number}")
         fresh = CallServer(f"s{number}", number, self._names, self.history, chance, at_ports=ports)
+        fresh.busy = True  # until discovery names it
         self.servers.append(fresh)
         self._unsaid.append(fresh)
         return fresh
@@ -166,6 +167,8 @@
         """Discovery names the call servers that it has not named yet."""
         fresh, self._unsaid = self._unsaid, []
         born = 0 if len(self.servers) == len(fresh) else int(time.time() * 1000)
+        for server in fresh:
+            server.busy = False
         if fresh:
             self.board.say(*(self._host(server, "SERVING", born) for server in fresh))
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -7,34 +7,19 @@
 
 import json
 import subprocess
-import sys
 from collections.abc import Iterator
-from pathlib import Path
 
 import pytest
 
 from standins.faults.cases import CASES
-from tests.test_config import ROOT
-
-LONGEST_S = 240
+from tests.rigs import LONGEST_S, playing
 
 
 @pytest.fixture(scope="module")
 def played(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, subprocess.Popen[str]]]:
-    folder: Path = tmp_path_factory.mktemp("faults")
-    running = {
-        name: subprocess.Popen(
-            [sys.executable, "-m", "standins.faults", name, "--seed", "1", "--folder", str(folder / name)],
-            cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
-        )
-        for name in CASES
-    }  # fmt: skip
-    yield running
-    for process in running.values():
-        process.terminate()
-        process.wait()
-        assert process.stdout is not None
-        process.stdout.close()
+    folder = tmp_path_factory.mktemp("faults")
+    with playing("standins.faults", CASES, folder, "--seed", "1") as running:
+        yield running
 
 
 @pytest.mark.parametrize("name", CASES)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,35 +7,21 @@
 
 import json
 import subprocess
-import sys
 from collections.abc import Iterator
-from pathlib import Path
 
 import pytest
 
 from standins.soak.cases import CASES
-from tests.test_config import ROOT
+from tests.rigs import LONGEST_S, playing
 
-LONGEST_S = 240
 RUNS = [*CASES, "1", "4", "10", "24"]  # seeds that broke rules once; 10 has a crowd
 
 
 @pytest.fixture(scope="module")
 def played(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, subprocess.Popen[str]]]:
-    folder: Path = tmp_path_factory.mktemp("soak")
-    running = {
-        name: subprocess.Popen(
-            [sys.executable, "-m", "standins.soak", name, "--folder", str(folder)],
-            cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
-        )
-        for name in RUNS
-    }  # fmt: skip
-    yield running
-    for process in running.values():
-        process.terminate()
-        process.wait()
-        assert process.stdout is not None
-        process.stdout.close()
+    folder = tmp_path_factory.mktemp("soak")
+    with playing("standins.soak", RUNS, folder) as running:
+        yield running
 
 
 @pytest.mark.parametrize("name", RUNS)
