Say once how a release is queued, a test sent, a need for a connection told

Change: one piece for each; unread state of the soak is gone; without a kill the end looks every 0.2 s again. Assertions stand as they were.

--- a/reedmount/fronts/lanes.py
+++ b/reedmount/fronts/lanes.py
@@ -113,7 +113,7 @@
         """Calls of ours count as over; should their server still have them, it is told."""
         for name, lane in calls:
             self._switch.call_lost(name, self._entry.server, reason)
-            item = Outgoing(bye(name, CUT), "out.server.BYE", release=name)
+            item = _release(name, CUT)
             if lane is not None and lane.open:
                 lane.queue(item)
             else:
@@ -122,9 +122,10 @@
     # --- what is to be done ---
 
     @property
-    def _unmet(self) -> bool:
-        """Whether releases from before our start may wait there for a connection."""
-        return self._entry.serving and not self._met
+    def _needs_connection(self) -> bool:
+        """Whether calls stand there, releases wait here, or some from before our start may wait there."""
+        unmet = self._entry.serving and not self._met
+        return bool(self.standing or self._late_byes) or unmet
 
     def _handle(self, word: Word) -> None:
         match word:
@@ -311,7 +312,7 @@
 
     def _release(self, name: str, cause: int) -> None:
         lane = self.standing.pop(name)
-        self._say(Outgoing(bye(name, cause), "out.server.BYE", release=name), lane)
+        self._say(_release(name, cause), lane)
 
     def _say(self, item: Outgoing, lane: Lane | None = None) -> None:
         """Send what concerns a call that stands on its lane, else on any."""
@@ -390,7 +391,7 @@
         if never or brief:
             if brief and self.standing:
                 self._owed = self.loop.clock.now()
-            if not self._lanes and (self.standing or self._late_byes or self._unmet):
+            if not self._lanes and self._needs_connection:
                 self._connect_later()
             elif self._owed is not None:
                 self._renew_later()
@@ -459,7 +460,7 @@
 
     def _again(self) -> None:
         self._retrying = False
-        if (self._late_byes or self.standing or self._unmet) and not self._lanes:
+        if self._needs_connection and not self._lanes:
             self._dial()
 
     # --- what comes in ---
@@ -570,7 +571,12 @@
         COUNTERS.add("server.late_answers")
         if self._switch.goes_on(name, self._entry.server):
             return
-        self._say(Outgoing(bye(name, CUT), "out.server.BYE", release=name), lane)
+        self._say(_release(name, CUT), lane)
+
+
+def _release(name: str, cause: int) -> Outgoing:
+    """A release of a call, sent again where its connection ends unconfirmed."""
+    return Outgoing(bye(name, cause), "out.server.BYE", release=name)
 
 
 def _may_begin(data: bytes) -> bool:
--- a/reedmount/fronts/standing.py
+++ b/reedmount/fronts/standing.py
@@ -144,15 +144,16 @@
         now = self._clock.now()
         self.server.asked(now)
         for lane in self._holder.open_lanes():
-            lane.liveness.asked(now)
-            self._holder.test(lane)
+            self._send_test(now, lane)
 
     def doubt(self, lane: Lane) -> None:
         """Something that was due on a connection never came: if calls hang on it, test it now."""
         if lane.connection.up and lane.liveness.first_asked_at is None and self.on(lane):
-            now = self._clock.now()
-            lane.liveness.asked(now)
-            self._holder.test(lane)
+            self._send_test(self._clock.now(), lane)
+
+    def _send_test(self, now: datetime, lane: Lane) -> None:
+        lane.liveness.asked(now)
+        self._holder.test(lane)
 
     def lose(self, reason: str) -> None:
         """All count as over."""
@@ -207,6 +208,5 @@
                     standing.over_at = lane.liveness.heard_at + DEAD
             self._holder.give_up(lane)
         elif lane.liveness.test_due(now):
-            lane.liveness.asked(now)
             self.server.asked(now)
-            self._holder.test(lane)
+            self._send_test(now, lane)
--- a/reedmount/node.py
+++ b/reedmount/node.py
@@ -26,7 +26,8 @@
 
 STILL_COMING = timedelta(milliseconds=800)  # after SIGTERM, connections and requests come for a while
 NEWS_WAIT = timedelta(seconds=2)  # for the board, where another process has served until now
-LOOK_AGAIN = timedelta(milliseconds=10)
+LOOK_AGAIN = timedelta(milliseconds=200)
+LOOK_BEFORE_KILL = timedelta(milliseconds=10)
 OWN_SOCKETS = 16  # for all but callers, call servers and the door
 HEIR_SOCKETS = 24  # that a successor holds before it is ready
 LANE_SOCKETS = 48  # to call servers; of few descriptors a quarter
@@ -210,7 +211,9 @@
         if self._done():
             self._loop.stopped = True
         else:
-            self._loop.after(LOOK_AGAIN, self._end_when_done)
+            departure = self._lifecycle.departure
+            killed = departure is not None and departure.kill_at is not None
+            self._loop.after(LOOK_BEFORE_KILL if killed else LOOK_AGAIN, self._end_when_done)
 
     def _done(self) -> bool:
         """Whether nothing is left to do, or no time to do it."""
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -48,6 +48,11 @@
     return found
 
 
+def _life_of(call: CallRecord, lives: list[Life]) -> Life:
+    """The start of its border controller that took it."""
+    return next(life for life in lives if life.node == call.node and life.number == call.node_life)
+
+
 def _answers(call: CallRecord) -> Iterator[str]:
     if call.sent_at == NEVER:
         return
@@ -81,7 +86,7 @@
     due += SLACK_S + MACHINE_SLACK_S
     if call.told_at <= due or history_ends < due:
         return
-    life = next(life for life in lives if life.node == call.node and life.number == call.node_life)
+    life = _life_of(call, lives)
     if life.ended_at < due:
         # The process that knew of it is gone: only what its call server said to the next one can be told.
         later = [other for other in lives if other.node == call.node and other.number > life.number]
@@ -134,7 +139,7 @@
     if not call.cancelled and not any(answer.status >= 300 for answer in call.answers):
         return  # its client closed: whether the answer reached it nobody can say
     client_knows = min([call.gone_at, call.closed_at, *(answer.at for answer in call.answers)])
-    life = next(life for life in lives if life.node == call.node and life.number == call.node_life)
+    life = _life_of(call, lives)
     for attempt in call.attempts:
         if attempt.answered_whole_at == NEVER or attempt.disturbed or client_knows == NEVER:
             continue
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -247,7 +247,7 @@
         return next((kind for kind in able if kind.repeatable == call.repeatable), self.classes[0])
 
     async def _send(self, stream: ClientStream, call: CallRecord, kind: ClassOfCall, whole: bool) -> None:
-        call.repeatable, call.connection = kind.repeatable, stream.number
+        call.repeatable = kind.repeatable
         number = self._name()
         wait_ms = min(kind.deadline_ms, int(call.wait_s * 1000))
         call.wait_s = wait_ms / 1000
--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -43,7 +43,6 @@
     node: str
     wait_s: float
     sent_at: float = NEVER  # its last byte was written to an accepted connection
-    connection: int = 0
     repeatable: bool = True
     gone_at: float = NEVER  # its client closed, or gave it up
     cancelled: bool = False  # in words, not by a close
--- a/standins/soak/nodes.py
+++ b/standins/soak/nodes.py
@@ -24,7 +24,6 @@
 
     def __init__(self, name: str, address: tuple[str, int], folder: Path, config: dict[str, Any]) -> None:
         self.name, self.address, self.config = name, address, config
-        self._folder = folder
         self._path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
         self._log = self.log_path.open("ab")
@@ -33,7 +32,6 @@
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
             self._command: str = tomllib.load(file)["run"]
         self._process: subprocess.Popen[bytes] | None = None
-        self.most_descriptors = 0
 
     @property
     def running(self) -> bool:
@@ -89,15 +87,6 @@
             self._process.kill()
             self._process.wait()
 
-    def count_descriptors(self) -> None:
-        """See how many descriptors it holds."""
-        if self._process is not None and self.running:
-            try:
-                held = len(os.listdir(f"/proc/{self._process.pid}/fd"))
-            except OSError:
-                return
-            self.most_descriptors = max(self.most_descriptors, held)
-
     def faults(self) -> list[str]:
         """What its log says of faults of its own."""
         text = self.log_path.read_text(encoding="utf-8", errors="replace")
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -10,6 +10,7 @@
 from standins.soak.board import Mood
 
 if TYPE_CHECKING:
+    from standins.soak.callserver import CallServer
     from standins.soak.run import Run
 
 TRAFFIC_S = 12.0
@@ -37,6 +38,20 @@
     longest_ms: int | None = None  # the longest deadline; None: drawn
 
 
+async def _replace_after(run: Run, gone: list[CallServer], seconds: float) -> None:
+    """Discovery says later that servers are gone, and names others in their place."""
+    await run.sleep(seconds)
+    run.say_state(gone, "DELETED")
+    run.add_servers(len(gone))
+
+
+async def _heal_after(run: Run, servers: list[CallServer], seconds: float) -> None:
+    """Servers that hang or are cut off go on."""
+    await run.sleep(seconds)
+    for server in servers:
+        server.heal()
+
+
 async def board_down(run: Run, chance: random.Random) -> None:
     """Discovery is down for some seconds."""
     mood = chance.choice([mood for mood in Mood if mood is not Mood.WELL])
@@ -50,9 +65,7 @@
     gone = run.some_servers(chance)
     for server in gone:
         server.vanish()
-    await run.sleep(chance.uniform(0.5, 9.5))
-    run.say_state(gone, "DELETED")
-    run.add_servers(len(gone))
+    await _replace_after(run, gone, chance.uniform(0.5, 9.5))
 
 
 async def die(run: Run, chance: random.Random) -> None:
@@ -60,9 +73,7 @@
     gone = run.some_servers(chance, most=2)
     for server in gone:
         server.die()
-    await run.sleep(chance.uniform(0.3, 5.0))
-    run.say_state(gone, "DELETED")
-    run.add_servers(len(gone))
+    await _replace_after(run, gone, chance.uniform(0.3, 5.0))
 
 
 async def hang(run: Run, chance: random.Random) -> None:
@@ -70,9 +81,7 @@
     hung = run.some_servers(chance)
     for server in hung:
         server.hang()
-    await run.sleep(chance.uniform(0.5, 6.0))
-    for server in hung:
-        server.heal()
+    await _heal_after(run, hung, chance.uniform(0.5, 6.0))
 
 
 async def cut(run: Run, chance: random.Random) -> None:
@@ -80,9 +89,7 @@
     away = run.some_servers(chance)
     for server in away:
         server.cut()
-    await run.sleep(chance.uniform(0.3, 6.0))
-    for server in away:
-        server.heal()
+    await _heal_after(run, away, chance.uniform(0.3, 6.0))
 
 
 async def drain(run: Run, chance: random.Random) -> None:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -260,7 +260,6 @@
     def _judge(self) -> Verdict:
         found = checks.broken(self.history, self.board, self.lives)
         for node in self.nodes.values():
-            node.count_descriptors()
             if not node.running:
                 found.append(f"crash: {node.name} is not there any more")
             found += node.faults()
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -10,7 +10,7 @@
 
 from reedmount.core.checks import COUNTERS
 from reedmount.core.liveness import DEAD, LEAST_TESTED, QUIET, TEST_WAIT, Liveness
-from tests.scenario import HOST, crowded
+from tests.scenario import HOST, Peer, crowded
 from tests.test_platform import ANOTHER, STANDS, Platform
 
 T0 = datetime(2026, 1, 1, tzinfo=UTC)
@@ -20,6 +20,12 @@
     server expect 200 c1
     caller expect BYE c1 reason=Q.850;cause=16
 """
+TWO_MORE = """
+    other send INVITE t x-cos=small x-timer-ms=2000
+    other send INVITE u x-cos=small x-timer-ms=2000
+    server expect INVITE t
+    server expect INVITE u
+"""
 MOMENT = timedelta(milliseconds=1)
 
 
@@ -56,6 +62,18 @@
     assert timedelta(seconds=7) < DEAD < TOLD_WITHIN - timedelta(milliseconds=500)
 
 
+def fall_silent(server: Peer) -> None:
+    """It takes what comes and says nothing."""
+    server.answers = False
+    server.take = lambda message: None  # type: ignore[method-assign]
+
+
+def fail_tests_on(server: Peer, silent: socket.socket) -> None:
+    """One of its connections is dead, the others are not."""
+    passes = server.passes_test
+    server.passes_test = lambda message: server.sock is not silent and passes(message)  # type: ignore[method-assign]
+
+
 def until_told(stage: Platform, longest_s: float = 9.0) -> float:
     """Seconds until the caller hears the release."""
     caller, begun = stage.peers["caller"], stage.time.seconds
@@ -71,8 +89,7 @@
     stage = Platform("server")
     stage.play(STANDS)
     server = stage.peers["server"]
-    server.answers = False
-    server.take = lambda message: None  # type: ignore[method-assign]
+    fall_silent(server)
     with crowded() as (full, _):
         if not accepts:
             stage.tell("server", port=full.getsockname()[1])
@@ -104,8 +121,7 @@
     stage = Platform("server")
     stage.play(STANDS)
     server = stage.peers["server"]
-    server.answers = False
-    server.take = lambda message: None  # type: ignore[method-assign]
+    fall_silent(server)
     stage.play("wait 6000")
     del server.take
     server.answers = True
@@ -130,13 +146,8 @@
     stage.play(STANDS)
     server = stage.peers["server"]
     dead = next(iter(server.rings))
-    passes = server.passes_test
-    server.passes_test = lambda message: server.sock is not dead and passes(message)  # type: ignore[method-assign]
-    stage.play("""
-        other send INVITE t x-cos=small x-timer-ms=2000
-        other send INVITE u x-cos=small x-timer-ms=2000
-        server expect INVITE t
-        server expect INVITE u
+    fail_tests_on(server, dead)
+    stage.play(TWO_MORE + """
         server send 200 INVITE t
         server send 200 INVITE u
     """)
@@ -247,14 +258,8 @@
     server.close(reset=True)
     stage.play("wait 300")
     old = next(iter(server.rings))
-    passes = server.passes_test
-    server.passes_test = lambda message: server.sock is not old and passes(message)  # type: ignore[method-assign]
-    stage.play("""
-        other send INVITE t x-cos=small x-timer-ms=2000
-        other send INVITE u x-cos=small x-timer-ms=2000
-        server expect INVITE t
-        server expect INVITE u
-    """)
+    fail_tests_on(server, old)
+    stage.play(TWO_MORE)
     assert len(server.rings) > 1, "another connection is heard, on which c1 does not hang"
     assert timedelta(seconds=until_told(stage, 9.0)) < TOLD_WITHIN
 
