--- a/review/platform_peers.py
+++ b/review/platform_peers.py
@@ -28,6 +28,19 @@
 SOCKETS = 256
 
 
+def free_port() -> int:
+    """A port that is free for TCP and UDP, below those that outgoing connections take."""
+    while True:
+        port = random.randrange(20000, 30000)
+        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind((HOST, port))
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+
+
 class Recorder:
     """The clock of a run and its record: what was sent, answered and run."""
 
@@ -420,9 +433,7 @@
 
     def __init__(self, recorder: Recorder, folder: Path, board: Board) -> None:
         self._recorder, self._folder, self._board = recorder, folder, board
-        with socket.socket() as sock:
-            sock.bind((HOST, 0))
-            self.port: int = sock.getsockname()[1]
+        self.port = free_port()
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
             self._command: str = tomllib.load(file)["run"]
         self._process: subprocess.Popen[bytes] | None = None
--- a/review/sip_peers.py
+++ b/review/sip_peers.py
@@ -7,7 +7,6 @@
 import random
 import re
 import signal
-import socket
 import subprocess
 import tomllib
 import urllib.request
@@ -15,7 +14,7 @@
 from pathlib import Path
 from typing import Any, cast
 
-from platform_peers import HOST, NEVER, ROOT, Recorder
+from platform_peers import HOST, NEVER, ROOT, Recorder, free_port
 
 FILE = """
 [sip]
@@ -51,18 +50,6 @@
 """
 
 
-def free_port() -> int:
-    """A port that is free for both TCP and UDP."""
-    while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
-            udp.bind((HOST, 0))
-            try:
-                tcp.bind(udp.getsockname())
-            except OSError:
-                continue
-            return int(udp.getsockname()[1])
-
-
 def header(message: str, name: str) -> str:
     """The first value of a header, or nothing."""
     found = re.search(rf"(?im)^{name}[ \t]*:[ \t]*(.*?)\r$", message)
