--- a/review/platform_peers.py
+++ b/review/platform_peers.py
@@ -26,18 +26,22 @@
 NEVER = float("inf")
 SLACK_S = 0.05  # by which each time limit of the rules grows
 SOCKETS = 256
+PORTS: set[int] = set()  # given out in this run
 
 
 def free_port() -> int:
-    """A port that is free for TCP and UDP, below those that outgoing connections take."""
+    """A port that is free for TCP and UDP, below those that outgoing connections take; each only once."""
     while True:
         port = random.randrange(20000, 30000)
+        if port in PORTS:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
             try:
                 tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
+            PORTS.add(port)
             return port
 
 
@@ -157,16 +161,29 @@
         self._recorder, self.name, self.block, self.hold_s = recorder, name, block, hold_s
         self.calls: dict[str, ServerCall] = {}
         self.setups: list[tuple[float, str]] = []  # when each arrived
-        self.address = ""
+        self.address, self.born_ms = "", 0  # ``born_ms``: of a late start, or 0
         self._streams: list[Stream] = []
         self._unconfirmed: dict[str, ServerCall] = {}  # releases that no border controller has confirmed
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        """Listen on a free port."""
+    async def start(self, port: int = 0) -> None:
+        """Listen on the port, or on a free one."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Stream(self), HOST, 0)
+        self._server = await loop.create_server(lambda: Stream(self), HOST, port)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
+        self._recorder.note(f"{self.name} listens at {self.address}")
+
+    def die(self) -> None:
+        """The process dies: it resets its connections and cuts its calls."""
+        assert self._server is not None
+        self._recorder.note(f"{self.name} dies")
+        self._server.close()
+        self._server = None
+        for call in self.calls.values():
+            call.ended_at = min(call.ended_at, self._recorder.now)
+        for stream in list(self._streams):
+            if stream.transport is not None:
+                stream.transport.abort()
 
     def stop(self) -> None:
         """End the process: its listener and connections close."""
@@ -180,7 +197,7 @@
     def entry(self, health: str) -> dict[str, Any]:
         """What the notice board says of it."""
         return {"host": self.name, "dial": self.address, "site": "zurich", "class": "std-1core",
-                "block": self.block, "health": health, "share": 1, "born_ms": 0}  # fmt: skip
+                "block": self.block, "health": health, "share": 1, "born_ms": self.born_ms}  # fmt: skip
 
     def opened(self, stream: Stream) -> None:
         """Send the state of the lines first of all, then the releases that were not heard yet."""
@@ -500,10 +517,10 @@
     callers: Callers
     servers: list[CallServer] = field(default_factory=list)
 
-    async def add_server(self, name: str, block: int, hold_s: float) -> CallServer:
-        """Start a call server."""
+    async def add_server(self, name: str, block: int, hold_s: float, port: int = 0) -> CallServer:
+        """Start a call server, on the port or on a free one."""
         server = CallServer(self.recorder, name, block, hold_s)
-        await server.start()
+        await server.start(port)
         self.servers.append(server)
         return server
 
