--- a/review/platform_peers.py
+++ b/review/platform_peers.py
@@ -30,9 +30,13 @@
 
 
 def free_port() -> int:
-    """A port that is free for TCP and UDP, below those that outgoing connections take; each only once."""
+    """A port that is free for TCP and UDP, below those that outgoing connections take.
+
+    Each is given out once, from a range of this process, so that runs beside each other do not meet.
+    """
+    lowest = 20000 + os.getpid() % 100 * 100
     while True:
-        port = random.randrange(20000, 30000)
+        port = random.randrange(lowest, lowest + 100)
         if port in PORTS:
             continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
