--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,6 +12,7 @@
 
 HOLD_S = 8.5  # how long a call lasts; its class has 7.2 to 10 s on average
 DRAIN_S = 5.5  # from DRAINING until the call server stops; 2 to 6 s in the operators' list of troubles
+SERVERS = 5  # one of them drains: a fifth, the largest share of a step
 KILL_AFTER_S = 3.7  # from SIGTERM to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s
 AWAY_S = 0.3  # until the next process starts
 TOLD_AFTER_END_S = 8.0  # where no release could be sent
@@ -24,7 +25,8 @@
     recorder, board, node, callers = world.recorder, world.board, world.node, world.callers
     leaving = await world.add_server("s-1", 1, HOLD_S)
     staying = await world.add_server("s-2", 2, HOLD_S)
-    board.publish(leaving.entry("SERVING"), staying.entry("SERVING"))
+    others = [await world.add_server(f"s-{number}", number, HOLD_S) for number in range(3, SERVERS + 1)]
+    board.publish(*(server.entry("SERVING") for server in (leaving, staying, *others)))
     node.start()
     await callers.until_ready()
     for number in range(8):
