Keep every listed call server connected, also one that drains

Cause: CallServer derived from its own state whether it needed a connection: __init__ dialled only serving servers, _needs_connection and _replace_connection asked for established calls of this process, or for a first connection to a serving server. Calls from before the start are not among these, and a call server sends their releases only on a connection opened from here.

Change: a listed server is kept connected until it is removed, whatever its state: dialled at the start, again after its last connection has ended (also a retired one), and again where a dial fails, with or without a descriptor. A break beside other connections is replaced until one stays up, also without established calls. The back-off moves to RetryTimer, once in place of twice; it starts anew only after a connection that lived for 0.1 s, since a server that accepts and closes at once would be dialled ten times a second now.

Why this works: it does not ask any more what this process knows, so that the releases have a connection on every path.

--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -13,6 +13,7 @@
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.established_calls import EstablishedCalls
+from reedmount.fronts.retry_timer import RetryTimer
 from reedmount.fronts.server_connection import (
     Attempt,
     Connected,
@@ -42,7 +43,7 @@
 PARTIAL_MESSAGE_TIMEOUT = timedelta(milliseconds=250)  # without further bytes of a partly received message
 RETIRED_LINGER = timedelta(milliseconds=1500)  # a retired connection still receives what is in transit
 LIMIT_RESET_AFTER = timedelta(seconds=10)  # a server that accepted no more connections is tried again
-FIRST_RETRY_DELAY, MAX_RETRY_DELAY = timedelta(milliseconds=100), timedelta(seconds=1)
+MIN_LIFETIME = timedelta(milliseconds=100)  # a server at its limit may accept a connection and close it
 MAX_REPLACEMENT_ATTEMPTS = 8  # dials to replace a broken connection: some 5 s in all
 MAX_REASSIGNMENTS = 2  # of an unsent set-up to another connection
 MAX_CONNECTIONS_PER_SERVER = 8
@@ -54,7 +55,11 @@
 
 
 class CallServer:
-    """The actor of one call server: its connections, what is queued for it and its open attempts."""
+    """The actor of one call server: its connections, what is queued for it and its open attempts.
+
+    A listed call server is always kept connected, even while it drains: calls from before the start of this
+    process may be established there, and it can send their releases only on a connection opened from here.
+    """
 
     def __init__(
         self,
@@ -77,15 +82,11 @@
         self._pending_releases: deque[Outgoing] = deque(maxlen=MAX_REMEMBERED_CALLS)
         self.established_calls = EstablishedCalls(self)
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
-        self._retry_delay = FIRST_RETRY_DELAY
-        self._retry_scheduled = False
+        self._reconnect_timer = RetryTimer(loop, self._dial_if_unconnected)
         # When a connection broke on which a release may have been in transit.
         self._releases_at_risk_since: datetime | None = None
-        self._replacement_scheduled, self._replacement_attempts = False, 0
-        # Whether a connection has come up: the server resends there what dates from before our start.
-        self._has_connected = False
-        if entry.serving:
-            self._dial()  # it first sends the state of its lines, and releases from before our restart
+        self._replacement_timer, self._replacement_attempts = RetryTimer(loop, self._retry_replacement), 0
+        self._dial()  # it first sends the state of its lines, and releases from before our restart
 
     @property
     def address(self) -> Address:
@@ -151,12 +152,6 @@
 
     # --- events ---
 
-    @property
-    def _needs_connection(self) -> bool:
-        """Whether calls are established, releases wait here, or some from before our start may wait there."""
-        awaits_first_connection = self._entry.serving and not self._has_connected
-        return bool(self.established_calls or self._pending_releases) or awaits_first_connection
-
     def _handle(self, event: ServerEvent) -> None:
         match event:
             case Setup():
@@ -282,6 +277,7 @@
             return
         self._retired.remove(connection)
         connection.transport.close()
+        self._dial_if_unconnected()
 
     def _expire(self, setup: Setup) -> None:
         attempt = self._attempts.get(setup.name)
@@ -370,7 +366,7 @@
             ]
             able = up or [connection for connection in self._connections if not connection.stale]
             connection = min(able, key=lambda connection: len(connection.attempts), default=None)
-        if connection is None and not self._retry_scheduled:
+        if connection is None and not self._reconnect_timer.pending:
             connection = self._dial()
         if connection is not None:
             connection.queue(item)
@@ -389,6 +385,7 @@
         except OSError as error:
             COUNTERS.add("server.no_socket")
             log(f"{self._entry.server}: {error}")
+            self._reconnect_timer.schedule()
             return None
         self._connections.append(connection)
         late, self._pending_releases = self._pending_releases, deque(maxlen=MAX_REMEMBERED_CALLS)
@@ -398,8 +395,6 @@
 
     def _on_connected(self, connection: ServerConnection) -> None:
         self.established_calls.connection_opened(connection)
-        self._retry_delay = FIRST_RETRY_DELAY
-        self._has_connected = True
         if (
             self._releases_at_risk_since is not None
             and connection.transport.opened_at >= self._releases_at_risk_since
@@ -425,8 +420,8 @@
         else:
             return
         unreachable = how in (EndReason.REFUSED, EndReason.NEVER_UP)
-        # A server at its limit may accept a connection and close it at once; that counts the same.
-        short_lived = self.loop.clock.now() - connection.transport.opened_at < FIRST_RETRY_DELAY
+        now = self.loop.clock.now()
+        short_lived = now - connection.transport.opened_at < MIN_LIFETIME
         others = any(other.transport.connected for other in self._connections)
         self.established_calls.connection_lost(connection)
         if active and (unreachable or short_lived) and others:
@@ -444,17 +439,17 @@
         self._pending_releases.extend(connection.releases_at_risk())
         self._requeue(connection, unreachable and not others)
         if unreachable or short_lived:
-            if short_lived and self.established_calls:
-                self._releases_at_risk_since = self.loop.clock.now()
-            if not self._connections and self._needs_connection:
-                self._schedule_reconnect()
+            if short_lived:
+                self._releases_at_risk_since = now
+            if not self._connections:
+                self._reconnect_timer.schedule()
             elif self._releases_at_risk_since is not None:
                 self._schedule_replacement()
-        elif how is not EndReason.CLOSED or active and not self._connections:
-            self._releases_at_risk_since, self._replacement_attempts = (
-                self.loop.clock.now() if self.established_calls else None,
-                0,
-            )
+            return
+        self._reconnect_timer.reset()
+        self._replacement_timer.reset()
+        if how is not EndReason.CLOSED or not self._connections:
+            self._releases_at_risk_since, self._replacement_attempts = now, 0
             # Of several connections that were idle for too long, those closed are not opened again.
             self._replace_connection()
 
@@ -463,8 +458,6 @@
 
         The new one may come up late, never, or break as well, so dialling is repeated until one stays up.
         """
-        if not (self._entry.serving or self.established_calls or self._pending_releases):
-            return
         if (
             len(self._connections) > self._connection_limit
             or self._connections
@@ -475,14 +468,11 @@
             self._dial()
 
     def _schedule_replacement(self) -> None:
-        if not self._replacement_scheduled and self._replacement_attempts < MAX_REPLACEMENT_ATTEMPTS:
-            self._replacement_scheduled = True
+        if not self._replacement_timer.pending and self._replacement_attempts < MAX_REPLACEMENT_ATTEMPTS:
             self._replacement_attempts += 1
-            self.loop.call_later(self._retry_delay, self._retry_replacement)
-            self._retry_delay = min(2 * self._retry_delay, MAX_RETRY_DELAY)
+            self._replacement_timer.schedule()
 
     def _retry_replacement(self) -> None:
-        self._replacement_scheduled = False
         if self._releases_at_risk_since is not None:
             self._replace_connection()
 
@@ -513,17 +503,8 @@
     def _reset_limit(self) -> None:
         self._connection_limit = self._max_connections
 
-    def _schedule_reconnect(self) -> None:
-        """Dial again later, with exponential back-off, for established calls or waiting releases."""
-        if self._retry_scheduled:
-            return
-        self._retry_scheduled = True
-        self.loop.call_later(self._retry_delay, self._retry_connect)
-        self._retry_delay = min(2 * self._retry_delay, MAX_RETRY_DELAY)
-
-    def _retry_connect(self) -> None:
-        self._retry_scheduled = False
-        if self._needs_connection and not self._connections:
+    def _dial_if_unconnected(self) -> None:
+        if not self._connections:
             self._dial()
 
     # --- incoming messages ---
