Confirm a release to its call server only once its caller can be told

Callers saw: where a border controller is restarted twice in a row, the callers of calls that ended in between are never told (rule lost).

Cause: Callers.has_unsent_release held the confirmation back only while the process was ending. A release that came before any caller was back, as those of calls from before a start do within milliseconds, was confirmed and waited in memory: the next end of the process, planned or not, took it along, and its call server had no reason to send it again.

Change: a release is not confirmed while it waits for its caller. The server sends it again on the next connection that opens; one that has been passed on by then is confirmed and not told twice.

The regression test in tests/test_reconnection.py failed before (a 200 came at once) and passes. Tests of reconnection, shutdown and hand-over pass.

--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -644,7 +644,7 @@
     ) -> None:
         self._loop, self._switch = loop, switch
         self.limits, self.sockets = limits, sockets
-        # A release that cannot be passed on before the process ends is not confirmed: the server resends it.
+        # A release that waits for its caller is not confirmed: the server resends it if this process ends.
         self.has_unsent_release: Callable[[str], bool] = lambda name: False
         self._peers: dict[str, CallServer] = {}
 
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -8,7 +8,7 @@
 
 from reedmount.core.background import Slices, Urgency
 from reedmount.core.checks import COUNTERS
-from reedmount.core.lifecycle import Need, Phase
+from reedmount.core.lifecycle import Need
 from reedmount.core.switch import Switch
 from reedmount.fronts.client_connection import DRAIN_QUIET_PERIOD, ClientConnection, RetentionPriority
 from reedmount.fronts.handover import REPORT_INTERVAL, HandoverMessage, HandoverPeer
@@ -201,8 +201,8 @@
             client.release_confirmed(name)
 
     def has_unsent_release(self, name: str) -> bool:
-        """Whether a release waits for a connection that this process will not accept any more."""
-        return name in self._waiting and self.switch.lifecycle.phase is Phase.ENDING
+        """Whether a release waits for its caller to connect: it would be lost if this process ended now."""
+        return name in self._waiting
 
     def send_waiting_releases(self, client: ClientConnection) -> None:
         """Send the waiting releases on a connection that has brought a set-up."""
--- a/tests/test_reconnection.py
+++ b/tests/test_reconnection.py
@@ -165,6 +165,18 @@
     assert COUNTERS["server.connects"] == before and not server.rings
 
 
+def test_a_release_is_not_confirmed_before_its_caller_can_be_told() -> None:
+    """It was confirmed while it waited for its caller to come back, and lost with the process."""
+    stage = Platform("server")
+    stage.call_servers.has_unsent_release = stage.callers.has_unsent_release
+    stage.play("server send BYE old reason=Q.850;cause=16\n wait 200\n server expect nothing")
+    stage.play(f"caller send {SETUP}\n caller expect BYE old reason=Q.850;cause=16\n caller send 200 BYE old")
+    stage.play(
+        "server expect INVITE c1\n server send 200 INVITE c1\n server expect ACK c1\n caller expect 200 c1"
+    )
+    stage.play("server send BYE old reason=Q.850;cause=16\n server expect 200 old\n caller expect nothing")
+
+
 # --- the SIP front: a call server connects to our Contact by itself ---
 
 
