Read the releases that are in transit as a call server is removed

Callers saw: nothing. A call from before the start stood at a draining call server until that cut it and was removed from the list; where the list came ahead of the release, its caller was never told.

Cause: CallServer closed all connections of a removed server unread. Its established calls had been ended before, but this process does not know those from before its start; only their server's release names them.

Change: a connection on which no attempt is open is half-closed at once, as its server sees it today, and read for 1.5 s more. Nothing is sent there any more, a confirmation neither, since that would reset the connection with releases still unread. Reports of a removed server are not taken.

Evidence: by a scenario only, with the bytes in the socket as the list comes; no run of real processes has shown it. The regression test in tests/test_reconnection.py failed before (nothing was received) and passes.

--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -186,20 +186,35 @@
             self._end_attempt(attempt, i.Outcome.NOT_SENT)
         if entry.removed:
             self._switch.server_lost(entry.server, "it was removed from the list")
-            self._discard_connections()
-            self._actor.stop()
+            self._finish_connections()
+            self.loop.call_later(RETIRED_LINGER, self._stop)
 
-    def _discard_connections(self) -> None:
-        """The server was removed: close its connections and end its attempts, as nothing more will arrive."""
+    def _finish_connections(self) -> None:
+        """The server was removed: end its attempts, and close its connections.
+
+        Of those without attempts only our sending side is closed at first: releases of calls from before our
+        start may be in transit to us.
+        """
         connections, self._connections, self._retired = [*self._connections, *self._retired], [], []
         self.established_calls.clear()
         self._pending_releases.clear()
         for connection in connections:
-            connection.transport.close()
             connection.outbox.clear()
+            if connection.attempts or not connection.transport.idle:
+                connection.transport.close()
+            else:
+                connection.transport.finish_writing()
+                self._retired.append(connection)
         for attempt in list(self._attempts.values()):
             self._end_attempt(attempt, i.Outcome.RESET)
 
+    def _stop(self) -> None:
+        """Close what is left of a removed server's connections, and stop the actor."""
+        for connection in self._retired:
+            connection.transport.close()
+        self._retired.clear()
+        self._actor.stop()
+
     # --- outgoing messages ---
 
     def _start_setup(self, setup: Setup) -> None:
@@ -557,7 +572,7 @@
         COUNTERS.add(f"in.server.{message.method if message.method in ('BYE', 'NOTIFY') else 'other'}")
         if message.method == "NOTIFY":
             report = load_report(message)
-            if report is not NO_REPORT:
+            if report is not NO_REPORT and not self._entry.removed:
                 self._switch.load_reported(self._entry.server, report)
                 self.established_calls.check_report(report)
         elif message.method == "BYE":
@@ -567,7 +582,7 @@
                 self._switch.server_released(
                     name, release_cause(message), load_report(message), self._entry.server
                 )
-            if not self._call_servers.has_unsent_release(name):
+            if not self._entry.removed and not self._call_servers.has_unsent_release(name):
                 connection.transport.send(response(message, 200).encode())
         elif message.method != "ACK":
             connection.transport.send(response(message, 501).encode())
--- a/tests/test_reconnection.py
+++ b/tests/test_reconnection.py
@@ -165,6 +165,18 @@
     assert COUNTERS["server.connects"] == before and not server.rings
 
 
+def test_releases_in_transit_as_their_server_is_removed_reach_their_callers() -> None:
+    """The connection was closed unread, and the calls were known to nobody else."""
+    stage = started_beside("draining")
+    server = stage.peers["server"]
+    for name in ("old", "older"):
+        server.write(server.request("BYE", name, {"reason": "Q.850;cause=41"}, b"").encode())
+    stage.set_servers("server", state="removed")
+    stage.play("caller expect BYE old reason=Q.850;cause=41\n caller expect BYE older reason=Q.850;cause=41")
+    stage.play("wait 1600\n server expect CLOSED")
+    assert not server.rings
+
+
 def test_a_release_is_not_confirmed_before_its_caller_can_be_told() -> None:
     """It was confirmed while it waited for its caller to come back, and lost with the process."""
     stage = Platform("server")
