--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -32,6 +32,14 @@
          b"X-Cos: plain\r\nX-Timer-Ms: 1000\r\nContent-Length: 0\r\n\r\n")  # fmt: skip
 
 
+TWO_SETUPS = f"""
+    caller send {SETUP}
+    server expect INVITE c1
+    other send {SETUP.replace("c1", "c2")}
+    server expect INVITE c2
+"""
+
+
 # --- the client disconnects or cancels ---
 
 
@@ -270,26 +278,11 @@
     assert stage.switch.is_idle
 
 
-def test_a_connection_is_dialled_again_for_a_lost_release_though_the_first_retry_fails() -> None:
-    """Others were open, so there was no further retry: the server's release never reached the caller."""
-    stage = Platform("server")
-    stage.play(f"""
-        caller send {SETUP}
-        server expect INVITE c1
-        other send {SETUP.replace("c1", "c2")}
-        server expect INVITE c2
-        server send 200 INVITE c1 | there
-        server expect ACK c1
-        server send 200 INVITE c2 | there
-        server expect ACK c2
-        caller expect 200 c1
-        other expect 200 c2
-        wait 150
-    """)
+def replaced_late(stage: Platform, broken: socket.socket) -> socket.socket:
+    """Reset a connection of the server while no other comes up; return the one that replaces it."""
     server = stage.peers["server"]
     with full_backlog() as (full, filling):
         stage.set_servers("server", port=full.getsockname()[1])
-        broken = server.received_on[id(server.requests[0])]
         broken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         server.drop(broken)
         stage.play("wait 600")  # the next connection is not established by then
@@ -299,7 +292,26 @@
     before = set(server.rings)
     stage.play("wait 1200")
     assert len(set(server.rings) - before) == 1
-    server.sock = next(iter(set(server.rings) - before))
+    return next(iter(set(server.rings) - before))
+
+
+def test_a_connection_is_dialled_again_for_a_lost_release_though_the_first_retry_fails() -> None:
+    """Others were open, so there was no further retry: the server's release never reached the caller."""
+    stage = Platform("server")
+    stage.play(
+        TWO_SETUPS
+        + """
+        server send 200 INVITE c1 | there
+        server expect ACK c1
+        server send 200 INVITE c2 | there
+        server expect ACK c2
+        caller expect 200 c1
+        other expect 200 c2
+        wait 150
+    """
+    )
+    server = stage.peers["server"]
+    server.sock = replaced_late(stage, server.received_on[id(server.requests[0])])
     stage.play("server send BYE c1 reason=Q.850;cause=16\n server expect 200 c1\n caller expect BYE c1")
 
 
--- a/tests/test_reconnection.py
+++ b/tests/test_reconnection.py
@@ -10,6 +10,7 @@
 from reedmount.core.checks import COUNTERS
 from reedmount.net.connection import Connection
 from tests.scenario import HOST, full_backlog
+from tests.test_crossings import TWO_SETUPS, replaced_late
 from tests.test_platform import SETUP, Platform
 from tests.test_sip import SipStage, call
 
@@ -114,31 +115,19 @@
 def test_a_connection_that_breaks_beside_others_is_replaced_until_one_stays_up() -> None:
     """A release in transit on it is sent again on the next connection that opens, and none did."""
     stage = Platform("server")
-    stage.play(f"""
-        caller send {SETUP}
-        server expect INVITE c1
-        other send {SETUP.replace("c1", "c2")}
-        server expect INVITE c2
+    stage.play(
+        TWO_SETUPS
+        + """
         server send 503 INVITE c1
         server expect ACK c1
         server send 503 INVITE c2
         server expect ACK c2
         wait 150
-    """)
+    """
+    )
     server = stage.peers["server"]
     assert len(server.rings) > 1
-    with full_backlog() as (full, filling):
-        stage.set_servers("server", port=full.getsockname()[1])
-        broken = next(iter(server.rings))
-        broken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-        server.drop(broken)
-        stage.play("wait 600")
-        stage.set_servers("server", port=server.port)
-        for sock in filling:
-            sock.close()
-    before = set(server.rings)
-    stage.play("wait 1200")
-    assert len(set(server.rings) - before) == 1
+    replaced_late(stage, next(iter(server.rings)))
 
 
 def test_a_server_that_closes_each_connection_at_once_is_dialled_less_and_less_often() -> None:
@@ -192,12 +181,18 @@
 # --- the SIP front: a call server connects to our Contact by itself ---
 
 
-@pytest.mark.parametrize("how", ["close", "close reset"])
-def test_a_draining_sip_server_releases_its_call_on_a_connection_of_its_own(how: str) -> None:
+def draining_with_a_call(how: str) -> SipStage:
+    """A controller with a call at a server that drains and whose connection has ended."""
     stage = SipStage("server", kind="tcp")
     stage.play(call("phone", "server"))
     stage.publish_servers("server", serving=False, version=2)
     stage.play(f"server {how}\n wait 300\n server expect nothing")
+    return stage
+
+
+@pytest.mark.parametrize("how", ["close", "close reset"])
+def test_a_draining_sip_server_releases_its_call_on_a_connection_of_its_own(how: str) -> None:
+    stage = draining_with_a_call(how)
     server = stage.peers["server"]
     server.listener, server.to = None, stage.front.endpoint.address
     stage.play("server send BYE @\n server expect 200\n phone expect BYE c1")
@@ -205,7 +200,5 @@
 
 @pytest.mark.parametrize("how", ["close", "close reset"])
 def test_a_call_is_released_at_a_draining_sip_server_on_a_new_connection(how: str) -> None:
-    stage = SipStage("server", kind="tcp")
-    stage.play(call("phone", "server"))
-    stage.publish_servers("server", serving=False, version=2)
-    stage.play(f"server {how}\n wait 300\n phone send BYE c1\n phone expect 200 c1\n server expect BYE")
+    stage = draining_with_a_call(how)
+    stage.play("phone send BYE c1\n phone expect 200 c1\n server expect BYE")
