--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -39,7 +39,7 @@
 RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
 NETWORK = f"127.{20 + (os.getpid() >> 8) % 200}.{os.getpid() & 255}"
 T1_S, T2_S, TIMEOUT_S = 0.5, 4.0, 32.0  # RFC 3261
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 11, 2  # run.sh makes 11 to 1, and any other but 0 to 2
 
 Address = tuple[str, int]
 Send = Callable[[bytes], None]
@@ -50,6 +50,24 @@
     return f"{NETWORK}.{number}"
 
 
+def _free_ports(count: int) -> list[int]:
+    """Ports in a row that are free for TCP and UDP; they are below those that the system gives out itself."""
+    for base in range(11000 + os.getpid() % 800 * 20, 32000, count):
+        try:
+            with contextlib.ExitStack() as held:
+                for port in range(base, base + count):
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        held.enter_context(socket.socket(socket.AF_INET, kind)).bind((host(1), port))
+            return list(range(base, base + count))
+        except OSError:
+            continue
+    raise OSError("no free ports")
+
+
+SIP, DOOR, MEMBERS, SERVER, BOARD = _free_ports(5)  # of each part at its own address
+PORTS = {"sip": SIP, "door": DOOR, "members": MEMBERS, "server_port": SERVER}
+
+
 class NotRun(Exception):
     """The case could not run."""
 
@@ -121,9 +139,9 @@
         self._order += 1
         self.timers.append((time.monotonic() + delay_s, self._order, work))
 
-    def operator(self, name: str, settings: str) -> Program:
-        """Start a process with the SIP front and these settings."""
-        path = self.write(name, settings)
+    def operator(self, name: str, settings: str, **values: object) -> Program:
+        """Start a process with the SIP front; the settings have values and ports in braces."""
+        path = self.write(name, settings.format(**PORTS, name=name, **values))
         self.note(f"start {name}")
         return Program(self, name, f"--operator {path}")
 
@@ -210,7 +228,7 @@
             case.note(f"BROKEN {line}")
         case.note("the rule was broken" if broken else "the rule held")
         status = BROKEN if broken else HELD
-    except (NotRun, OSError) as error:
+    except Exception as error:  # noqa: BLE001 - whatever goes wrong here is not the program's fault
         case.note(f"could not run: {type(error).__name__} {error}")
         for program in case.programs:
             case.note(f"log of {program.name}: {program.log()[-1500:]}")
@@ -535,7 +553,7 @@
             at, port = split_host_port((message.get("Via") or "").partition(";")[0].split()[-1])
             self.case.note(f"{self.name}: answers on a new connection")
             try:
-                sock = socket.create_connection((at, int(port or 5060)), timeout=1)
+                sock = socket.create_connection((at, int(port)), timeout=1)
             except OSError:
                 return False
             again = self._links[sock.fileno()] = Link(sock)
@@ -689,16 +707,3 @@
         self._listener.close()
         for sock in self._other:
             sock.close()
-
-
-def free_port(address: str) -> int:
-    """A port that is free for both UDP and TCP at an address of this script's own."""
-    while True:
-        with socket.create_server((address, 0)) as tcp:
-            port: int = tcp.getsockname()[1]
-            try:
-                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                    udp.bind((address, port))
-                return port
-            except OSError:
-                continue
--- a/review/thin_2.py
+++ b/review/thin_2.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from parts_2 import Address, Case, Link, Part, Program, host
+from parts_2 import SIP, Address, Case, Link, Part, Program, host
 
 from reedmount.sip.framing import next_message
 from reedmount.sip.message import Message, response
@@ -248,7 +248,7 @@
     known = {"rev": 1, "notices": [{"rev": 1, "pool": {
         "seq": 1, "whole": True, "hosts": [server.listed(at) for at, server in enumerate(servers)],
     }}]}  # fmt: skip
-    listen = f"{host(number)}:3868"
+    listen = f"{host(number)}:{SIP}"
     path = Path(case.folder) / f"n{number}.json"
     path.write_text(json.dumps({
         "name": f"n{number}", "listen": listen, "seed": "8c1f30d27a5be964",
