Review case 7: callers of a dead SIP call server are never told

Rule: no request lost. What has stood and is over is released towards its caller within 8 s of its end at the latest. Done: six calls stand at two call servers over TCP; one dies with a reset, and 2 s later the list says DELETED. It takes the place of SIGTERM at a member, which review/2 already shows.

--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,94 +1,70 @@
-"""A planned restart of one member: its standing calls must not be ended by the others while it serves."""
+"""A SIP call server's process dies with calls standing there, and the list tells that it is gone."""
 
 from __future__ import annotations
 
-import signal
-
-from parts_2 import DOOR, MEMBERS, SERVER, SIP, Callers, Case, Server, host, main
+from parts_2 import BOARD, SERVER, SIP, Callers, Case, Server, host, main
+from thin_2 import Board, listed
 
 SETTINGS = """
 [sip]
 listen = "{host}:{sip}"
 
-[door]
-control = "{host}:{door}"
-
 [module]
-controllers = 3
 cold_s = 0.0
 
 [pool]
-servers = ["udp:{server}"]
-
-[members]
-name = "{name}"
-group = "calls"
-listen = "{host}:{members}"
-ways_in = [{ways}]
-roster = ["n1", "n2", "n3"]
-
-[replicas]
-faults = 1
-folder = "copies-{name}"
+board = "{board}"
+transport = "tcp"
 
 [[class]]
 name = "quote-call"
 aim_ms = 1200
 give_up_ms = 9000
 """
-CALLS = 10
-EARLIEST_KILL_S = 3.7  # after SIGTERM: 3 s for the longest deadline, and 0.7 s
+CALLS = 6
+TOLD_AFTER_S = 2.0  # the list is seconds late
+WITHIN_S = 8.0 + 0.05
 
 
 def play(case: Case) -> list[str]:
-    """Ten calls stand at n1; SIGTERM comes to n1; nobody hangs up."""
-    names = ["n1", "n2", "n3"]
-    ways = ", ".join(f'"{host(at)}:{MEMBERS}"' for at in (1, 2, 3))
-    server = Server(case, (host(50), SERVER))
-    programs = [
-        case.operator(name, SETTINGS, host=host(at), server=server.name, ways=ways)
-        for at, name in enumerate(names, 1)
-    ]
-    case.wait_for_start(programs)
-
-    def formed() -> bool:
-        return all(
-            case.get((host(at), DOOR), "/admin/members")["standing"] == "majority"
-            and len(case.get((host(at), DOOR), "/admin/copies")["ways"]) == 2  # type: ignore[arg-type]
-            for at in (1, 2, 3)
-        )
-
-    case.require(case.until(formed, 20), "the members did not form a group")
+    """Six calls stand at two call servers; one of these dies, and two seconds later the list says so."""
+    servers = [Server(case, (host(at), SERVER), "tcp") for at in (51, 52)]
+    board = Board(case, (host(40), BOARD))
+    board.tell(*(listed(f"s-{at}", server.address, at) for at, server in enumerate(servers)))
+    program = case.operator("n1", SETTINGS, host=host(1), board=f"{host(40)}:{BOARD}")
+    case.wait_for_start([program])
     case.run(1.0)
     callers = Callers(case, (host(1), SIP), 60)
     calls = []
     for at in range(CALLS):
         calls.append(callers.place(f"0{at:05}"))
-        case.run(0.1)
-    case.run(1.0)
+        case.run(0.3)
     case.require(all(call.stands for call in calls), "not all calls stand")
-    case.require(len(server.standing) == CALLS, "not all calls stand at the call server")
+    dying = max(servers, key=lambda server: len(server.standing))
+    lost = {attempt.number for attempt in dying.standing}
+    case.run(1.0)
+    over_at, within = case.now, WITHIN_S
     if case.trouble:
-        programs[0].send(signal.SIGTERM)
-    begun = case.now
-    case.run(EARLIEST_KILL_S)
-    alive = programs[0].running
-    case.note(f"n1 runs: {alive}; stand at callers {sum(call.stands for call in calls)}, "
-              f"at the call server {len(server.standing)}")  # fmt: skip
-    for at, name in enumerate(names, 1):
-        if programs[at - 1].running:
-            records = case.get((host(at), DOOR), "/admin/records")["records"]
-            assert isinstance(records, list)
-            case.note(f"records at {name}: {[record['outcome'] for record in records]}")
-    for program in programs:
-        for line in program.log().splitlines():
-            if any(word in line for word in ("took over", "taken over", "stopping", " is left")):
-                case.note(f"{program.name} says: {line}")
-    return [
-        f"{call.number}: released by the border controllers {call.ended_at - begun:.2f} s after SIGTERM"
-        for call in calls
-        if call.ended_at is not None and call.ended_by != "caller"
-    ]
+        dying.die()
+        case.run(TOLD_AFTER_S)
+        board.tell(listed(f"s-{servers.index(dying)}", dying.address, servers.index(dying), "DELETED"))
+    else:
+        within = 1.0 + 0.05
+        for attempt in dying.standing:
+            dying.release(attempt)
+    case.run(12.0)
+    for line in program.log().splitlines():
+        if any(word in line for word in ("connection", "leaves", "removed", "released")):
+            case.note(f"n1 says: {line}")
+    broken = []
+    for call in calls:
+        if call.number not in lost:
+            continue
+        told = None if call.ended_at is None else call.ended_at - over_at
+        case.note(f"{call.number}: over at its call server; its caller was told after {told}")
+        if told is None or told > within:
+            broken.append(f"{call.number}: over for {case.now - over_at:.1f} s, its caller has not been told")
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -26,7 +26,6 @@
 from reedmount.sip.message import (
     Message,
     SipError,
-    host_port,
     parse_datagram,
     request,
     response,
@@ -443,6 +442,7 @@
         self.confirmed_at: float | None = None  # ACK of the 200 came
         self.ended_at: float | None = None  # BYE came or was sent
         self.repeats = 0
+        self.send: Callable[[bytes], bool] = lambda _: False  # towards its border controller
 
     @property
     def over_at(self) -> float | None:
@@ -593,6 +593,7 @@
         number = user_of(message.uri)
         attempt = Attempt(self.name, number, self.case.now, message)
         self.attempts[message.call_id] = attempt
+        attempt.send = send
         self.case.note(f"{self.name} <- INVITE {number}")
         send(response(message, 100).encode())
         after = self.answer_after_s
@@ -625,21 +626,30 @@
 
         self.case.later(delay_s, again)
 
-    def release(self, attempt: Attempt, send: Callable[[bytes], bool] | None = None) -> None:
-        """End a call that stands, over UDP."""
-        if self._sock is None or self.transport != "udp":
-            raise NotRun("only over UDP")
+    def die(self) -> None:
+        """End as a process that dies: its connections are reset, and nothing listens there any more."""
+        self.case.note(f"{self.name} dies, {len(self.standing)} calls stand there")
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+        for link in self._links.values():
+            reset(link.sock)
+        self._links.clear()
+
+    def release(self, attempt: Attempt) -> None:
+        """End a call that stands."""
         invite = attempt.message
         attempt.ended_at = self.case.now
         target = uri_of(invite.need("Contact"))
         to = response(invite, 200, tag="s").need("To")
         bye = request("BYE", target, [
-            ("Via", f"SIP/2.0/UDP {self.name};branch=z9hG4bKb{attempt.number}"), ("Max-Forwards", "70"),
+            ("Via", f"SIP/2.0/{self.transport.upper()} {self.name};branch=z9hG4bKb{attempt.number}"),
+            ("Max-Forwards", "70"),
             ("From", to), ("To", invite.need("From")), ("Call-ID", invite.call_id), ("CSeq", "1 BYE"),
             ("Reason", "Q.850;cause=16"),
         ])  # fmt: skip
         self.case.note(f"{self.name} -> BYE {attempt.number}")
-        self._sock.sendto(bye.encode(), host_port(target))
+        attempt.send(bye.encode())
 
 
 def reset(sock: socket.socket) -> None:
--- a/review/thin_2.py
+++ b/review/thin_2.py
@@ -50,11 +50,12 @@
 
 
 class Board(Part):
-    """A notice board with nothing to tell beyond what the configuration has."""
+    """A notice board."""
 
     def __init__(self, case: Case, address: Address) -> None:
         self.case, self.address = case, address
-        self.revision = 1
+        self.notices: list[dict[str, object]] = []
+        self._waiting: list[tuple[socket.socket, int]] = []  # polls, and the last event that each has
         self._listener = socket.create_server(address)
         self._open: dict[int, socket.socket] = {}
         case.parts.append(self)
@@ -78,11 +79,28 @@
             del self._open[fd]
             sock.close()
             return
+        watch = int(data.partition(b"watch=")[2].partition(b"&")[0])
         linger_s = int(data.partition(b"linger=")[2].split()[0]) / 1000
-        self.case.later(linger_s, lambda: self._answer(sock))
-
-    def _answer(self, sock: socket.socket) -> None:
-        body = json.dumps({"rev": self.revision, "notices": []})
+        poll = (sock, watch)
+        self._waiting.append(poll)
+        self.case.later(0.0 if len(self.notices) > watch else linger_s, lambda: self._answer(poll))
+
+    def tell(self, *hosts: dict[str, object]) -> None:
+        """Tell of call servers: the first time the whole list, then what has changed."""
+        for one in hosts:
+            self.case.note(f"board: {one['host']} at {one['dial']} is {one['health']}")
+        revision = len(self.notices) + 1
+        pool = {"seq": revision, "whole": revision == 1, "hosts": list(hosts)}
+        self.notices.append({"rev": revision, "pool": pool})
+        for poll in list(self._waiting):
+            self._answer(poll)
+
+    def _answer(self, poll: tuple[socket.socket, int]) -> None:
+        if poll not in self._waiting:
+            return
+        self._waiting.remove(poll)
+        sock, watch = poll
+        body = json.dumps({"rev": len(self.notices), "notices": self.notices[watch:]})
         with contextlib.suppress(OSError):
             sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
@@ -93,6 +111,14 @@
             sock.close()
 
 
+def listed(name: str, address: Address, number: int, health: str = "SERVING") -> dict[str, object]:
+    """What the list of call servers says of one of them."""
+    return {
+        "host": name, "dial": f"{address[0]}:{address[1]}", "site": "zurich", "class": "std-1core",
+        "block": number, "health": health, "share": 1, "born_ms": 0,
+    }  # fmt: skip
+
+
 class ThinServer(Part):
     """A call server: each set-up is answered after a while, and stands until it is released."""
 
@@ -104,13 +130,6 @@
         self._links: dict[int, Link] = {}
         case.parts.append(self)
 
-    def listed(self, number: int) -> dict[str, object]:
-        """What the list of call servers says of it."""
-        return {
-            "host": self.name, "dial": f"{self.address[0]}:{self.address[1]}", "site": "zurich",
-            "class": "std-1core", "block": number, "health": "SERVING", "share": 1, "born_ms": 0,
-        }  # fmt: skip
-
     def descriptors(self) -> list[int]:
         """The descriptors to wait for."""
         return [self._listener.fileno(), *self._links]
@@ -245,9 +264,8 @@
 
 def start(case: Case, number: int, board: Board, servers: Sequence[ThinServer]) -> Program:
     """Start one border controller as the platform does, and wait until it serves."""
-    known = {"rev": 1, "notices": [{"rev": 1, "pool": {
-        "seq": 1, "whole": True, "hosts": [server.listed(at) for at, server in enumerate(servers)],
-    }}]}  # fmt: skip
+    board.tell(*(listed(server.name, server.address, at) for at, server in enumerate(servers)))
+    known = {"rev": len(board.notices), "notices": board.notices}
     listen = f"{host(number)}:{SIP}"
     path = Path(case.folder) / f"n{number}.json"
     path.write_text(json.dumps({
