--- a/review/7/play.py
+++ b/review/7/play.py
@@ -21,14 +21,14 @@
 aim_ms = 1200
 give_up_ms = 9000
 """
-CALLS = 6
+CALLS = 12
 TOLD_AFTER_S = 2.0  # the list is seconds late
 WITHIN_S = 8.0 + 0.05
 
 
 def play(case: Case) -> list[str]:
-    """Six calls stand at two call servers; one of these dies, and two seconds later the list says so."""
-    servers = [Server(case, (host(at), SERVER), "tcp") for at in (51, 52)]
+    """Twelve calls stand at four call servers; one of these dies, and two seconds later the list says so."""
+    servers = [Server(case, (host(at), SERVER), "tcp") for at in (51, 52, 53, 54)]  # one of four is 25%
     board = Board(case, (host(40), BOARD))
     board.tell(*(listed(f"s-{at}", server.address, at) for at, server in enumerate(servers)))
     program = case.operator("n1", SETTINGS, host=host(1), board=f"{host(40)}:{BOARD}")
@@ -42,6 +42,7 @@
     case.require(all(call.stands for call in calls), "not all calls stand")
     dying = max(servers, key=lambda server: len(server.standing))
     lost = {attempt.number for attempt in dying.standing}
+    case.note(f"calls at the call servers: {[len(server.standing) for server in servers]}")
     case.run(1.0)
     over_at, within = case.now, WITHIN_S
     if case.trouble:
