Review: after a late answer the release of the standing call is lost

Rule: what is over is released; a release that a caller sent and that was confirmed is passed on (PROTOCOL). Disruption: answers that come after their time (LATER 1), at servers that go on after a CANCEL (WIRE).

--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -433,6 +433,12 @@
                 asyncio.ensure_future(self._answer(taken, source))
             case "ACK" if taken is not None:
                 taken.acked_at = taken.acked_at or time.time()
+            case "CANCEL":
+                # Whether a call server halts its work is up to the call server; this one goes on.
+                self._rig.note(f"server: CANCEL of {name}")
+                self.udp.send(message.answer(200), source)
+                if taken is not None:
+                    taken.cancelled_at = taken.cancelled_at or time.time()
             case "BYE":
                 self._rig.note(f"server: BYE of {name} from {source[1]} {message.get('Reason')}")
                 if taken is not None:
@@ -441,8 +447,12 @@
             case _:
                 pass
 
+    def delay(self, taken: Taken) -> float:
+        """How long it works on a set-up."""
+        return 0.05
+
     async def _answer(self, taken: Taken, to: tuple[str, int]) -> None:
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(self.delay(taken))
         host, port = self.udp.address
         extra = [
             ("Contact", f"<sip:server@{host}:{port};transport=udp>"),
