--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -278,6 +278,7 @@
     branch: str
     to: tuple[str, int]
     sent_at: float = 0.0
+    heard: bool = False  # a response came: the INVITE is not repeated any more
     finals: list[tuple[float, int, str]] = field(default_factory=list)  # time, status, To tag
     remote: str = ""  # To with its tag
     target: str = ""
@@ -318,7 +319,7 @@
             invite.headers.append(("Expires", str(expires)))
         invite.body = call.body
         self._rig.note(f"caller: INVITE {name} to {to[1]}, number {call.number}")
-        self._spawn(self._repeat(call, invite, lambda: bool(call.finals)))
+        self._spawn(self._repeat(call, invite, lambda: call.heard))
         return call
 
     def hang_up(self, call: Call) -> None:
@@ -370,7 +371,10 @@
         if message.method == "BYE":
             call.bye_status = call.bye_status or message.status
             self._rig.note(f"caller: {message.status} to BYE {call.name}")
-        if message.method != "INVITE" or message.status < 200:
+        if message.method != "INVITE":
+            return
+        call.heard = True
+        if message.status < 200:
             return
         if message.status not in [status for _, status, _ in call.finals]:
             self._rig.note(f"caller: {message.status} to {call.name}")
