--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,6 +25,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HOST = "127.0.0.1"
 TOKENS = itertools.count(1)
+GIVEN_PORTS: set[int] = set()
 
 
 class CannotRunError(Exception):
@@ -31,14 +33,19 @@
 
 
 def free_port() -> int:
-    """A port that is free for TCP and UDP at the moment."""
-    for _ in range(50):
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            tcp.bind((HOST, 0))
-            port: int = tcp.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, contextlib.suppress(OSError):
-                udp.bind((HOST, port))
-                return port
+    """A port free for TCP and UDP, below those that the system gives to outgoing connections."""
+    for port in random.SystemRandom().sample(range(12_000, 30_000), 200):
+        if port in GIVEN_PORTS:
+            continue
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
+            tcp.bind((HOST, port))
+            udp.bind((HOST, port))
+            GIVEN_PORTS.add(port)
+            return port
     raise CannotRunError("no free port")
 
 
