--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -445,7 +445,7 @@
             case "ACK" if taken is not None:
                 taken.acked_at = taken.acked_at or time.time()
             case "CANCEL":
-                # Whether a call server halts its work is up to the call server; this one goes on.
+                # The set-up has run, its answer is on its way: a CANCEL has no effect (RFC 3261, 9.2).
                 self._rig.note(f"server: CANCEL of {name}")
                 self.udp.send(message.answer(200), source)
                 if taken is not None:
