Parse folded header lines at a cost linear in the size of the head

Cause: for each folded line parse_head went through all headers read so far, and copied the value that had grown. Related: over UDP the index of the headers was dropped when the first Via was marked, so that each later look at a header went through all of them.

Change: folded lines are joined before the headers are read; the marked Via replaces its entry in the index. Both are linear by construction, whatever the lines are.

--- a/reedmount/sip/endpoint.py
+++ b/reedmount/sip/endpoint.py
@@ -151,8 +151,10 @@
             if rport:
                 parts = [part for part in top.split(";") if part.strip().partition("=")[0].lower() != "rport"]
                 top = ";".join(parts) + rport
-            message.headers[position] = (key, f"{top}{received}{rest}")
-            message.index = None
+            marked = f"{top}{received}{rest}"
+            message.headers[position] = (key, marked)
+            if message.index is not None:
+                message.index["via"] = marked
             return
 
 
--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -122,20 +122,14 @@
         text = head.decode()
     except UnicodeDecodeError:
         raise SipError(400, "not UTF-8 text") from None
-    lines = text.replace("\r\n", "\n").split("\n")
-    message = _parse_start_line(lines[0])
+    text = text.replace("\r\n", "\n")
+    start_line, *lines = text.split("\n")
+    message = _parse_start_line(start_line)
     index: dict[str, str] = {}
-    for line in lines[1:]:
+    is_folded = "\n " in text or "\n\t" in text
+    for line in _unfold(lines) if is_folded else lines:
         if not line:
             continue
-        if line[0] in " \t":
-            if not message.headers:
-                raise SipError(400, "continuation line before the first header")
-            key, value = message.headers[-1]
-            message.headers[-1] = (key, f"{value} {line.strip()}".strip())
-            if len([name for name, _ in message.headers if name.lower() == key.lower()]) == 1:
-                index[key.lower()] = message.headers[-1][1]
-            continue
         key, colon, value = line.partition(":")
         names = HEADER_NAMES.get(key) or _header_name(key, line, bool(colon))
         value = value.strip()
@@ -147,6 +141,23 @@
     return message
 
 
+def _unfold(lines: list[str]) -> list[str]:
+    """Join each header line with those that continue it (RFC 3261, 7.3.1), at a cost linear in their size."""
+    unfolded: list[list[str]] = []
+    for line in lines:
+        if not line:
+            continue
+        if line[0] not in " \t":
+            unfolded.append([line.rstrip()])
+            continue
+        if not unfolded:
+            raise SipError(400, "continuation line before the first header")
+        text = line.strip()
+        if text:
+            unfolded[-1].append(text)
+    return [" ".join(pieces) for pieces in unfolded]
+
+
 # Cache by name as received: the long name, and the same in lower case.
 HEADER_NAMES: dict[str, tuple[str, str]] = {}
 MAX_CACHED_NAMES, MAX_CACHED_NAME_LENGTH = 256, 40
--- a/tests/test_message.py
+++ b/tests/test_message.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import sys
+from collections.abc import Callable
+from types import FrameType
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from reedmount.net.ring import Ring
 from reedmount.sip.dialog import dialog_key, uac_dialog
+from reedmount.sip.endpoint import mark_source
 from reedmount.sip.framing import next_message
 from reedmount.sip.message import (
     Message,
@@ -142,3 +147,48 @@
     lines = ["OPTIONS sip:a@b SIP/2.0", "CSeq:", " 1 OPTIONS", "Subject: one", "\ttwo", "", ""]
     message = parse_datagram("\r\n".join(lines).encode())
     assert message.cseq == (1, "OPTIONS") and message.get("Subject") == "one two"
+
+
+def steps_of(work: Callable[[], object]) -> int:
+    """The number of lines of Python that a call executes, also in the functions that it calls."""
+    steps = 0
+
+    def count(_frame: FrameType, event: str, _argument: object) -> Callable[..., object]:
+        nonlocal steps
+        steps += event == "line"
+        return count
+
+    previous = sys.gettrace()
+    sys.settrace(count)
+    try:
+        work()
+    finally:
+        sys.settrace(previous)
+    return steps
+
+
+@pytest.mark.parametrize("lines", [("a:", " "), ("a:", " b"), ("a: b", "\tc", " ")], ids=repr)
+def test_the_cost_of_a_head_with_folded_lines_is_proportional_to_its_size(lines: tuple[str, ...]) -> None:
+    """Each folded line went through all headers before it: 16 KiB held the whole process for a second."""
+
+    def cost(count: int) -> int:
+        first, *folded = lines
+        head = "\n".join(["OPTIONS sip:a@b SIP/2.0", *[first] * count, *folded * count]).encode()
+        return steps_of(lambda: parse_head(head))
+
+    assert cost(400) < 2.5 * cost(200)
+
+
+def test_the_first_value_of_a_header_that_stands_twice_keeps_its_folded_lines() -> None:
+    message = parse_head(b"OPTIONS sip:a@b SIP/2.0\nVia: one\n  more\n \nVia:\n two\n\n\tthree")
+    assert message.get("Via") == "one more" and message.all("Via") == ["one more", "two three"]
+    with pytest.raises(SipError):
+        parse_head(b"OPTIONS sip:a@b SIP/2.0\n\n x: y\nVia: one")
+
+
+def test_a_marked_via_is_found_without_a_search_through_all_headers() -> None:
+    """Each look at a header of a request over UDP went through all of them, as its index was dropped."""
+    message = parse_head(b"OPTIONS sip:a@b SIP/2.0\nVia: SIP/2.0/UDP a;rport, SIP/2.0/UDP b\nTo: c")
+    mark_source(message, ";received=192.0.2.1", ";rport=5070")
+    marked = "SIP/2.0/UDP a;rport=5070;received=192.0.2.1, SIP/2.0/UDP b"
+    assert message.index == {"via": marked, "to": "c"} and message.all("Via") == [marked]
