SIP front: end the calls of a call server whose process has ended

Cause: the SIP front ended attempts with their connection, but not established calls, and the pool took DELETED on the notice board for what a record taken out of SRV means, a drain. The log of the case says "connection reset" and "is removed", and nothing after.

Change: while calls stand at a server whose connection has ended it is dialled again; a refusal ends its calls. A claim may say that a process has ended; the pool keeps that instant, or the start of a later process at the address, and the SIP front ends what it sent there before, towards both sides. So the same holds over UDP, for a server that another source still names, and for a new process at an old address. What is only left out of an SRV answer, a zone or the file goes on as a drain.

--- a/reedmount/core/ports.py
+++ b/reedmount/core/ports.py
@@ -116,6 +116,8 @@
     transport: str = "tcp"
     band: int = 0
     standby: bool = False  # it could serve, but its band is closed
+    # Calls sent there before this are over: a source said then that its process has ended, or started anew.
+    ended_before: datetime | None = None
 
 
 class Servers(Protocol):
--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import datetime
 
 from reedmount import interface as i
 from reedmount.core.actors import Actor, Timer
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Progress, Release, Setup
+from reedmount.fronts.retry_timer import RetryTimer
 from reedmount.fronts.sip import ALLOW, SECOND, SipFront
 from reedmount.net.connection import EndReason, format_address
 from reedmount.sip import dialog as dialogs
@@ -39,6 +41,7 @@
         self.hop: Hop | None = None
         self.transaction: ClientTransaction | None = None
         self.ended = False  # the core has been notified
+        self.sent_at: datetime | None = None  # None: it waits for a connection
         self._cancel_outcome: i.Outcome | None = None  # set once the attempt is aborted
         self._cancelled = False
         self._ack: Message | None = None
@@ -64,7 +67,7 @@
             ("Expires", str(max(1, -(-setup.give_up // SECOND)))),
             *([("Content-Type", "application/sdp")] if setup.description else []),
         ], setup.description)  # fmt: skip
-        self.hop = hop
+        self.hop, self.sent_at = hop, self.peer.loop.clock.now()
         self.transaction = front.endpoint.transactions.send(invite, hop, self._handle_response)
 
     def abort(self, outcome: i.Outcome) -> None:
@@ -104,6 +107,10 @@
         self.peer.established_legs.pop(self.setup.name, None)
         self.peer.ended(self.setup.name)
 
+    def sent_before(self, instant: datetime) -> bool:
+        """Whether the attempt was sent before an instant."""
+        return self.sent_at is not None and self.sent_at < instant
+
     def _cancel(self) -> None:
         if self._cancelled or self.transaction is None or self.hop is None:
             return
@@ -219,6 +226,7 @@
         self.established_legs: dict[str, ServerLeg] = {}
         self.waiting: list[ServerLeg] = []  # for the connection to be established
         self._hop: TcpHop | None = None
+        self._reconnect_timer = RetryTimer(front.loop, self._check_process)
         self._actor: Actor[Setup | CancelSetup | Release | ListedServer | EndReason] = Actor(
             front.loop, self._handle
         )
@@ -266,13 +274,24 @@
                 self._on_connection_lost(message)
 
     def _update_entry(self, entry: ListedServer) -> None:
-        self.entry = entry
+        previous, self.entry = self.entry, entry
         if not entry.serving:
             waiting, self.waiting = self.waiting, []
             for leg in waiting:
                 leg.end(i.Outcome.NOT_SENT)
+        end = entry.ended_before
+        if end is not None and (previous.ended_before is None or end > previous.ended_before):
+            self._end_calls_before(end)
         self.ended("")
 
+    def _end_calls_before(self, instant: datetime) -> None:
+        """End what was sent to a process that has ended, towards both sides in case it still runs."""
+        for leg in [leg for leg in self.legs.values() if leg.sent_before(instant)]:
+            leg.abort(i.Outcome.RESET)
+        for leg in [leg for leg in self.established_legs.values() if leg.sent_before(instant)]:
+            leg.release(CUT)
+            self.front.switch.call_lost(leg.setup.name, self.entry.server, "its process has ended")
+
     def _setup(self, setup: Setup) -> None:
         leg = self.legs[setup.name] = ServerLeg(self, setup)
         if not self.entry.serving:
@@ -307,6 +326,27 @@
             waiting, self.waiting = self.waiting, []
             for leg in waiting:
                 leg.end(i.Outcome.UNREACHABLE)
+            if reason is EndReason.REFUSED:
+                self._end_established("it refuses connections")
+            elif self.established_legs:
+                self._reconnect_timer.schedule()
+
+    def _check_process(self) -> None:
+        """Connect again while calls are established: a refusal shows that the process has ended."""
+        if not self.established_legs or (self._hop is not None and not self._hop.connection.ended):
+            return
+        try:
+            self._connect()
+        except OSError as error:
+            COUNTERS.add("server.no_socket")
+            log(f"{self.entry.server}: {error}", "server.no_socket")
+            self._reconnect_timer.schedule()
+
+    def _end_established(self, reason: str) -> None:
+        """End the calls of a process that no longer runs, so that their callers are told."""
+        for leg in list(self.established_legs.values()):
+            leg.dialog_ended()
+            self.front.switch.call_lost(leg.setup.name, self.entry.server, reason)
 
 
 class SipServers:
--- a/reedmount/pool/claims.py
+++ b/reedmount/pool/claims.py
@@ -34,6 +34,7 @@
     started: datetime | None = None
     priority: int | None = None  # RFC 2782: the lowest is used first; None where the source has none
     weight: int | None = None
+    ended: bool = False  # its process has ended; a server that is GONE otherwise finishes its calls
 
     def __post_init__(self) -> None:
         """Reject states that only the pool derives from the age of a claim."""
--- a/reedmount/pool/pool.py
+++ b/reedmount/pool/pool.py
@@ -45,6 +45,7 @@
     since: datetime  # since when this rule applies
     seen: datetime | None  # its start according to our own sources; None: long ago
     reported_start: datetime | None = None  # its start as reported by other members
+    ended_before: datetime | None = None  # calls sent there before this are over
 
     @property
     def serves(self) -> bool:
@@ -272,6 +273,9 @@
         """
         rule = decide(source.state_of(now, endpoint) for source in self.sources.values())
         entry = self.entries.get(endpoint)
+        previous_end = None if entry is None else entry.ended_before
+        if entry is not None:
+            entry.ended_before = self._ended_before(entry)
         if rule is Rule.UNNAMED or rule is Rule.GONE and not self._is_claimed(now, endpoint):
             return self._remove(endpoint, rule, now)
         current = self._current_claim(endpoint)
@@ -283,7 +287,9 @@
             if current is None:
                 return []
             started = current.started if at_startup else current.started or now
-            return [Change(self._add_entry(now, current, rule, started))]
+            added = self._add_entry(now, current, rule, started)
+            added.ended_before = self._ended_before(added)
+            return [Change(added)]
         before = (entry.serves, entry.started, entry.transport, entry.priority, entry.weight)
         ours = entry.ours
         if current is not None:
@@ -296,7 +302,13 @@
         if started is not None and (entry.seen is None or started > entry.seen):
             entry.seen = started
         after = (entry.serves, entry.started, entry.transport, entry.priority, entry.weight)
-        return [Change(entry)] if after != before else []
+        return [Change(entry)] if after != before or entry.ended_before != previous_end else []
+
+    def _ended_before(self, entry: Entry) -> datetime | None:
+        """Return the latest end of a process at this address that any source has reported so far."""
+        ends = [entry.ended_before]
+        ends += [source.ended_before(entry.endpoint) for source in self.sources.values()]
+        return max((end for end in ends if end is not None), default=None)
 
     def _is_claimed(self, now: datetime, endpoint: Endpoint) -> bool:
         """Whether any source still names it, also as draining."""
--- a/reedmount/pool/source.py
+++ b/reedmount/pool/source.py
@@ -126,6 +126,15 @@
                 return candidate
         return ClaimState.GONE
 
+    def ended_before(self, endpoint: Endpoint) -> datetime | None:
+        """Return before when calls sent to the server are over, as its process has ended or started anew."""
+        by_part = self.statements.get(endpoint) or {}
+        instants = (
+            statement.received_at if statement.claim.ended else statement.claim.started
+            for statement in by_part.values()
+        )
+        return max((instant for instant in instants if instant is not None), default=None)
+
     def current_statement(self, endpoint: Endpoint) -> Statement | None:
         """Return how to reach the server: the statement of the oldest part where it is not removed."""
         by_part = self.statements.get(endpoint) or {}
--- a/reedmount/sources/lists.py
+++ b/reedmount/sources/lists.py
@@ -36,7 +36,8 @@
         state = (
             ClaimState.GONE if entry.removed else ClaimState.SERVING if entry.serving else ClaimState.DRAINING
         )
-        return Claim(entry.address, entry.server, state, started=entry.started)  # no transport on the board
+        # The board gives no transport. It tells a drain apart, so what it no longer lists has ended.
+        return Claim(entry.address, entry.server, state, started=entry.started, ended=entry.removed)
 
 
 class ZoneSource:
--- a/reedmount/sources/pool_host.py
+++ b/reedmount/sources/pool_host.py
@@ -251,6 +251,7 @@
                     transport=entry.transport,
                     band=entry.priority,
                     standby=entry.serves and not band_open,
+                    ended_before=entry.ended_before,
                 )
             )
         self._version += 1
--- a/tests/test_message.py
+++ b/tests/test_message.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Callable
 from types import FrameType
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -153,7 +154,7 @@
     """The number of lines of Python that a call executes, also in the functions that it calls."""
     steps = 0
 
-    def count(_frame: FrameType, event: str, _argument: object) -> Callable[..., object]:
+    def count(_frame: FrameType, event: str, _argument: object) -> Any:
         nonlocal steps
         steps += event == "line"
         return count
--- /dev/null
+++ b/tests/test_sip_server_loss.py
@@ -0,0 +1,131 @@
+"""Calls of the SIP front whose call server's process or connection ends."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import datetime, timedelta
+
+import pytest
+
+from reedmount import interface as i
+from reedmount.core.ports import ListedServer
+from reedmount.pool.claims import Claim, ClaimState
+from reedmount.pool.pool import Pool
+from reedmount.sources.lists import BOARD, BoardSource
+from reedmount.sources.pool_host import PoolHost, PoolSettings
+from tests.scenario import HOST
+from tests.test_sip import SipStage, call
+
+
+def listed(stage: SipStage, **changes: object) -> ListedServer:
+    entry = ListedServer("server", (HOST, stage.peers["server"].port), 1, True, False, None, stage.kind)
+    return replace(entry, **changes)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("reset", ["", " reset"])
+def test_callers_are_told_when_their_call_server_s_process_dies(reset: str) -> None:
+    """Its connection was reset, new ones were refused, and its calls were left standing."""
+    stage = SipStage("server", kind="tcp")
+    stage.play(call("phone", "server") + f"server close{reset}")
+    stage.peers["server"].stop()
+    stage.play("wait 200\n phone expect BYE c1 reason=Q.850;cause=41")
+    assert stage.switch.is_idle and not stage.front.server_legs
+
+
+def test_calls_go_on_when_only_their_connection_to_the_call_server_ends() -> None:
+    """A reset alone proves nothing: the process may have kept the calls."""
+    stage = SipStage("server", kind="tcp")
+    stage.play(
+        call("phone", "server")
+        + """
+        server close reset
+        wait 1500
+        phone expect nothing
+        phone send BYE c1
+        phone expect 200 c1
+        server expect BYE
+    """
+    )
+
+
+def test_the_process_is_looked_for_again_until_it_refuses() -> None:
+    """A first new connection that is closed as well says nothing about the process."""
+    stage = SipStage("server", kind="tcp")
+    stage.play(call("phone", "server") + "server close\n wait 150\n server close\n wait 250")
+    stage.play("phone expect nothing")
+    stage.peers["server"].close(reset=True)
+    stage.peers["server"].stop()
+    stage.play("wait 1100\n phone expect BYE c1 reason=Q.850;cause=41")
+
+
+@pytest.mark.parametrize("removed", [True, False])
+@pytest.mark.parametrize("kind", ["udp", "tcp"])
+def test_callers_are_told_when_a_list_says_that_the_process_has_ended(kind: str, removed: bool) -> None:
+    """Over UDP nothing else says so: the callers were never told."""
+    stage = SipStage("server", kind=kind)
+    stage.play(call("phone", "server") + "wait 10")
+    ended = listed(stage, serving=False, removed=removed, ended_before=stage.loop.clock.now())
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, [ended])
+    stage.play("phone expect BYE c1 reason=Q.850;cause=41\n server expect BYE")
+    assert stage.switch.is_idle and not stage.front.server_legs
+
+
+@pytest.mark.parametrize("kind", ["udp", "tcp"])
+def test_a_new_process_at_the_address_has_only_the_calls_sent_to_it(kind: str) -> None:
+    """It was taken for the old one: calls of that one were left standing, and their callers not told."""
+    stage = SipStage("server", kind=kind)
+    stage.play(call("phone", "server", "old") + "wait 1000")
+    started = stage.loop.clock.now()
+    stage.play("wait 1000\n" + call("desk", "server", "new"))
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, [listed(stage, started=started, ended_before=started)])
+    stage.play("phone expect BYE old reason=Q.850;cause=41\n server expect BYE\n desk expect nothing")
+    assert stage.switch.call_counts == {"open": 0, "standing": 1}
+
+
+def test_a_set_up_at_a_process_that_has_ended_is_sent_to_another_server() -> None:
+    """Over UDP it was retransmitted to the address until its time was up."""
+    stage = SipStage("server", "second", max_attempts=2)
+    stage.play("phone send INVITE c1\n phone expect 100 c1")
+    stage.settle()
+    first = "server" if stage.peers["server"].inbox else "second"
+    other = "second" if first == "server" else "server"
+    stage.play(f"{first} expect INVITE\n wait 10")
+    entry = listed(stage, server=first, address=(HOST, stage.peers[first].port), serving=False, removed=True)
+    ended = replace(entry, ended_before=stage.loop.clock.now())
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, [ended])
+    stage.play(f"wait 300\n {other} expect INVITE\n {first} expect nothing")
+
+
+def board_told(*reports: tuple[str, bool, datetime | None]) -> list[ListedServer]:
+    """What the core gets when the board tells these names, removals and starts of one address."""
+    stage = SipStage()
+    host = PoolHost(stage.loop, stage.switch, PoolSettings(), (BOARD,))
+    got: list[ListedServer] = []
+    stage.switch.pool_changed = lambda version, kind, entries: got.extend(entries)  # type: ignore[method-assign]
+    board = BoardSource(host)
+    for version, (name, removed, started) in enumerate(reports):
+        stage.wait(timedelta(seconds=1))
+        entry = ListedServer(name, (HOST, 5060), 1, not removed, removed, started)
+        kind = i.ListKind.CHANGES if version else i.ListKind.SAVED
+        board.pool_changed(version, kind, [entry])
+    return got
+
+
+def test_the_board_says_when_the_process_at_an_address_has_ended() -> None:
+    late = SipStage().loop.clock.now() + timedelta(minutes=1)
+    first, removed = board_told(("s-1", False, None), ("s-1", True, None))
+    assert first.ended_before is None and removed.removed and removed.ended_before is not None
+    _, replaced = board_told(("s-1", False, None), ("s-2", False, late))
+    assert replaced.serving and replaced.ended_before == late
+
+
+def test_a_server_that_is_only_left_out_of_an_answer_keeps_its_calls() -> None:
+    """In SRV and in a zone, a record that is taken out is a drain."""
+    now = SipStage().loop.clock.now()
+    pool = Pool(now, ("srv",))
+    endpoint = (HOST, 5060)
+    for claims in ([Claim(endpoint, "s")], []):
+        changes = [change for part in pool.full_update(now, "srv", claims) for change in part.changes]
+    (removal,) = changes
+    assert removal.removed and removal.entry.ended_before is None
+    assert Claim(endpoint, "s", ClaimState.GONE).ended is False
