Move the server leg of the SIP front into a module of its own

Cause: sip_servers.py held two subjects, the leg of a call and the actor of a call server. Change: a move, and the part of the actor that a leg needs as a protocol. Measured: tests of the SIP front as before.

--- /dev/null
+++ b/reedmount/fronts/sip_server_leg.py
@@ -0,0 +1,230 @@
+"""The server leg of a call in the SIP front: an attempt at a call server, then its dialog."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import Protocol
+
+from reedmount import interface as i
+from reedmount.core.actors import Timer
+from reedmount.core.checks import COUNTERS
+from reedmount.core.ports import CUT, ListedServer, Progress, Setup
+from reedmount.fronts.sip import ALLOW, SECOND, SipFront
+from reedmount.net.connection import format_address
+from reedmount.net.loop import Loop
+from reedmount.sip import dialog as dialogs
+from reedmount.sip.dialog import Dialog, DialogState
+from reedmount.sip.message import Message, parameter, request
+from reedmount.sip.transaction import ClientTransaction, Hop, State
+
+OUTCOMES = {
+    480: (i.Outcome.FAILED, i.Cause.OTHER),
+    486: (i.Outcome.FAILED, i.Cause.NUMBER_BUSY),
+    487: (i.Outcome.CANCELLED, i.Cause.NONE),
+    503: (i.Outcome.FULL, i.Cause.PROCESSOR_FULL),
+    408: (i.Outcome.RESET, i.Cause.NONE),
+    504: (i.Outcome.RESET, i.Cause.NONE),
+    600: (i.Outcome.FAILED, i.Cause.NUMBER_BUSY),
+}
+PROGRESS = {180: Progress.RINGING, 181: Progress.FORWARDED, 182: Progress.QUEUED, 183: Progress.SESSION}
+MAX_FORKS = 16  # limit of forked answers to one set-up that are released
+MAX_PROGRESS = 32  # provisional responses passed on per attempt; a server may send them without end
+
+
+class ServerPeer(Protocol):
+    """What a leg needs of the actor of its call server."""
+
+    front: SipFront
+    loop: Loop
+    entry: ListedServer
+    legs: dict[str, ServerLeg]
+    established_legs: dict[str, ServerLeg]
+    waiting: list[ServerLeg]
+
+    def ended(self, name: str) -> None:
+        """Report the end of an attempt or a call, after the current callback."""
+
+    def current_hop(self, used: Hop) -> Hop:
+        """Return the hop to use now: the given one, or a new connection if that has ended."""
+
+
+class ServerLeg:
+    """An attempt at a call server: its INVITE transaction, then its dialog."""
+
+    def __init__(self, peer: ServerPeer, setup: Setup) -> None:
+        self.peer, self.setup = peer, setup
+        self.dialog: Dialog | None = None
+        self.hop: Hop | None = None
+        self.transaction: ClientTransaction | None = None
+        self.ended = False  # the core has been notified
+        self.sent_at: datetime | None = None  # None: it waits for a connection
+        self._cancel_outcome: i.Outcome | None = None  # set once the attempt is aborted
+        self._cancelled = False
+        self._ack: Message | None = None
+        self._fork_tag: str | None = None  # To tag of the UAS whose progress was sent to the caller
+        self._released_forks: dict[str, Dialog] = {}  # by To tag: further answers (forking)
+        self._progress_count = 0
+        self._awaiting_record = False  # the 200 is held until the call is recorded
+        self.timer: Timer = peer.loop.call_later(setup.give_up, lambda: self.abort(i.Outcome.TIMED_OUT))
+
+    def start(self, hop: Hop) -> None:
+        """Send the INVITE."""
+        front = self.peer.front
+        entry, setup = self.peer.entry, self.setup
+        host_port = format_address(entry.address)
+        target = f"sip:{setup.number}@{host_port};transport={'tcp' if hop.reliable else 'udp'}"
+        host = format_address(front.endpoint.local_address(hop.ipv6)).rpartition(":")[0]
+        invite = request("INVITE", target, [
+            ("Via", front.via(hop)), ("Max-Forwards", "70"),
+            ("From", f"<sip:reedmount@{host}>;tag={front.token()}"),
+            ("To", f"<sip:{setup.number}@{host_port.rpartition(':')[0]}>"),
+            ("Call-ID", f"{front.token()}@{host}"), ("CSeq", "1 INVITE"),
+            ("Contact", front.endpoint.contact(hop)), ("Allow", ALLOW), ("X-Cos", setup.call_class),
+            ("Expires", str(max(1, -(-setup.give_up // SECOND)))),
+            *([("Content-Type", "application/sdp")] if setup.description else []),
+        ], setup.description)  # fmt: skip
+        self.hop, self.sent_at = hop, self.peer.loop.clock.now()
+        self.transaction = front.endpoint.transactions.send(invite, hop, self._handle_response)
+
+    def abort(self, outcome: i.Outcome) -> None:
+        """Abort the attempt on timeout or at the module's request: CANCEL as soon as that is allowed."""
+        if self.ended:
+            return
+        self._cancel_outcome = outcome
+        if self.transaction is None:
+            self.peer.waiting = [leg for leg in self.peer.waiting if leg is not self]
+        elif self.transaction.state is State.PROCEEDING:
+            self._cancel()
+        else:
+            # No CANCEL may be sent before a provisional response (9.1), which triggers it if it comes.
+            self.transaction.stop_retransmitting()
+        self.end(outcome)
+
+    def end(self, outcome: i.Outcome, cause: i.Cause = i.Cause.NONE) -> None:
+        """End the attempt and notify the core, once."""
+        if self.ended:
+            return
+        self.ended = True
+        self.timer.cancel()
+        self.peer.legs.pop(self.setup.name, None)
+        self.peer.ended(self.setup.name)
+        self.peer.front.switch.attempt_ended(self.setup.name, self.setup.attempt, outcome, cause)
+
+    def release(self, cause: int) -> None:
+        """Release the call at the server after the caller's side has ended."""
+        if self.hop is not None:
+            self.peer.front.bye(self.dialog, self.peer.current_hop(self.hop), cause)
+        self.dialog_ended()
+
+    def dialog_ended(self) -> None:
+        """Remove the leg: its dialog has ended."""
+        if self.dialog is not None:
+            self.peer.front.server_legs.pop(self.dialog.key, None)
+        self.peer.established_legs.pop(self.setup.name, None)
+        self.peer.ended(self.setup.name)
+
+    def sent_before(self, instant: datetime) -> bool:
+        """Whether the attempt was sent before an instant."""
+        return self.sent_at is not None and self.sent_at < instant
+
+    def _cancel(self) -> None:
+        if self._cancelled or self.transaction is None or self.hop is None:
+            return
+        self._cancelled = True
+        own = self.transaction.request
+        headers = [(name, own.need(name)) for name in ("Via", "Max-Forwards", "From", "To", "Call-ID")]
+        message = request("CANCEL", own.uri, [*headers, ("CSeq", f"{own.cseq[0]} CANCEL")])
+        self.peer.front.endpoint.transactions.send(message, self.hop, lambda _: None)
+
+    def _handle_response(self, message: Message | None) -> None:
+        if message is None:
+            if self.dialog is not None and not self.ended:
+                self.release(CUT)  # handling its 200 failed: do not leave the call up at the server
+            self.end(i.Outcome.RESET if self.hop is not None and self.hop.reliable else i.Outcome.TIMED_OUT)
+        elif message.status < 200:
+            if self._cancel_outcome is not None:
+                self._cancel()
+            else:
+                self._handle_provisional(message)
+        elif message.status >= 300:
+            outcome, cause = OUTCOMES.get(message.status, (i.Outcome.FAILED, i.Cause.OTHER))
+            self.end(outcome, cause)
+        else:
+            self._handle_2xx(message)
+
+    def _handle_provisional(self, message: Message) -> None:
+        """Pass on progress, only that of the first UAS if the server forks; 100 is hop-by-hop."""
+        progress = PROGRESS.get(message.status)
+        if progress is None:
+            return
+        self._progress_count += 1
+        tag = parameter(message.get("To") or "", "tag") or ""
+        if self._progress_count > MAX_PROGRESS or self._fork_tag not in (None, tag):
+            COUNTERS.add("progress.not_passed")
+            return
+        self._fork_tag = tag
+        self.peer.front.switch.progressed(self.setup.name, self.setup.attempt, progress, message.body)
+
+    def _release_fork(self, message: Message) -> bool:
+        """Acknowledge and release a 200 of another UAS than the accepted one (13.2.2.4), else False."""
+        tag = parameter(message.need("To"), "tag") or ""
+        if self.dialog is None or self.transaction is None or self.hop is None or self.dialog.key[2] == tag:
+            return False
+        if tag not in self._released_forks and len(self._released_forks) < MAX_FORKS:
+            COUNTERS.add("server.forked_answers")
+            other = self._released_forks[tag] = dialogs.uac_dialog(self.transaction.request, message)
+            self.hop.send(other.request("ACK", self.peer.front.via(self.hop)).encode())
+            self.peer.front.bye(other, self.peer.current_hop(self.hop), CUT)
+        elif tag in self._released_forks:
+            fork_dialog = dialogs.uac_dialog(self.transaction.request, message)  # its ACK was lost
+            self.hop.send(fork_dialog.request("ACK", self.peer.front.via(self.hop)).encode())
+        return True
+
+    def _handle_2xx(self, message: Message) -> None:
+        """Acknowledge a 200, also a retransmitted one; if its attempt has ended, release the call."""
+        if self.transaction is None or self.hop is None or self._release_fork(message):
+            return
+        if self._awaiting_record:
+            return  # retransmitted before the call was recorded
+        retransmission = self.dialog is not None
+        if not retransmission:
+            self.dialog = dialogs.uac_dialog(self.transaction.request, message)
+            front, leg = self.peer.front, self.peer.front.legs_by_name.get(self.setup.name)
+            if front.recorder is not None and leg is not None and not self.ended:
+                self._awaiting_record = True
+                sides = (leg.dialog_state, DialogState.from_dialog(self.dialog, self.hop.reliable))
+                server, attempts = self.peer.entry.server, self.setup.attempt + 1
+                front.recorder.call_established(
+                    self.setup.name, server, attempts, sides, lambda: self._on_recorded(message)
+                )
+                return
+        self._acknowledge(message, retransmission)
+
+    def _on_recorded(self, message: Message) -> None:
+        """Establish the call once its dialogs are recorded or recording has timed out; not earlier."""
+        self._awaiting_record = False
+        self._acknowledge(message, False)
+
+    def _acknowledge(self, message: Message, retransmission: bool) -> None:
+        if self.dialog is None or self.hop is None:
+            return
+        if self._ack is None:
+            self._ack = self.dialog.request("ACK", self.peer.front.via(self.hop))
+        self.hop.send(self._ack.encode())
+        if retransmission:
+            return
+        front, name = self.peer.front, self.setup.name
+        self.timer.cancel()
+        front.server_legs[self.dialog.key] = self
+        if not self.ended:
+            if self._fork_tag not in (None, self.dialog.key[2]):
+                front.switch.progressed(name, self.setup.attempt, Progress.AGAIN)
+            accepted = front.switch.established(name, self.setup.attempt, message.body)
+            self.ended = True
+            self.peer.legs.pop(name, None)
+            if accepted:
+                self.peer.established_legs[name] = self
+                self.peer.ended(name)  # the attempt, not the call
+                return
+        COUNTERS.add("server.late_answers")
+        self.release(CUT)
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -16,7 +16,8 @@
 from reedmount.core.ports import ListedServer, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.sip import SipFront, SipSettings
-from reedmount.fronts.sip_servers import MAX_PROGRESS, SipServers
+from reedmount.fronts.sip_server_leg import MAX_PROGRESS
+from reedmount.fronts.sip_servers import SipServers
 from reedmount.sip.message import Message, parameter, response
 from reedmount.sip.transaction import Timers
 from tests.scenario import HOST, Stage
