SIP front: an attempt outlives its TCP connection until it is cancelled or answered

The first answers were neither acknowledged nor released.

Cause: the loss of a connection ended the client transaction and was reported as the end of the attempt.

Change: an INVITE's transaction outlives its connection; CANCEL goes out on the next one, and the attempt is over with its final response, 481 to the CANCEL, or a refused connection. The same for a caller's CANCEL, a CANCEL that is lost, the ACK of a repeated 200. A cancelled INVITE without a final response is forgotten after 64 * T1; it was kept.

--- a/reedmount/fronts/sip_server_leg.py
+++ b/reedmount/fronts/sip_server_leg.py
@@ -27,6 +27,7 @@
     600: (i.Outcome.FAILED, i.Cause.NUMBER_BUSY),
 }
 PROGRESS = {180: Progress.RINGING, 181: Progress.FORWARDED, 182: Progress.QUEUED, 183: Progress.SESSION}
+UNKNOWN_TRANSACTION = 481
 MAX_FORKS = 16  # limit of forked answers to one set-up that are released
 MAX_PROGRESS = 32  # provisional responses passed on per attempt; a server may send them without end
 
@@ -41,6 +42,9 @@
     established_legs: dict[str, ServerLeg]
     waiting: list[ServerLeg]
 
+    def cancel_when_connected(self, leg: ServerLeg) -> None:
+        """Cancel an attempt whose connection was lost on the next connection."""
+
     def ended(self, name: str) -> None:
         """Report the end of an attempt or a call, after the current callback."""
 
@@ -60,6 +64,7 @@
         self.sent_at: datetime | None = None  # None: it waits for a connection
         self._cancel_outcome: i.Outcome | None = None  # set once the attempt is aborted
         self._cancelled = False
+        self._connection_lost = False  # and no other has taken its place
         self._ack: Message | None = None
         self._fork_tag: str | None = None  # To tag of the UAS whose progress was sent to the caller
         self._released_forks: dict[str, Dialog] = {}  # by To tag: further answers (forking)
@@ -84,7 +89,9 @@
             *([("Content-Type", "application/sdp")] if setup.description else []),
         ], setup.description)  # fmt: skip
         self.hop, self.sent_at = hop, self.peer.loop.clock.now()
-        self.transaction = front.endpoint.transactions.send(invite, hop, self._handle_response)
+        self.transaction = front.endpoint.transactions.send(
+            invite, hop, self._handle_response, self._on_connection_lost
+        )
 
     def abort(self, outcome: i.Outcome) -> None:
         """Abort the attempt on timeout or at the module's request: CANCEL as soon as that is allowed."""
@@ -97,7 +104,7 @@
             self._cancel()
         else:
             # No CANCEL may be sent before a provisional response (9.1), which triggers it if it comes.
-            self.transaction.stop_retransmitting()
+            self.transaction.limit_wait()
         self.end(outcome)
 
     def end(self, outcome: i.Outcome, cause: i.Cause = i.Cause.NONE) -> None:
@@ -127,14 +134,54 @@
         """Whether the attempt was sent before an instant."""
         return self.sent_at is not None and self.sent_at < instant
 
+    @property
+    def awaits_final(self) -> bool:
+        """Whether the server may still answer the INVITE."""
+        return self.transaction is not None and self.transaction.awaits_final
+
+    def cancel_on(self, hop: Hop) -> None:
+        """Cancel the attempt on a connection that has taken the place of a lost one."""
+        if self.transaction is None or not self.awaits_final:
+            return
+        self.hop, self._connection_lost, self._cancelled = hop, False, False
+        self.transaction.move(hop)
+        self._cancel()
+
+    def process_ended(self) -> None:
+        """End the attempt: its connection was lost, and the server's process no longer runs."""
+        if self.transaction is not None and self.awaits_final:
+            self.transaction.end()
+        self.end(self._cancel_outcome or i.Outcome.RESET)
+
+    def _on_connection_lost(self) -> None:
+        """The server's transaction goes on without the connection, so the attempt has to be cancelled.
+
+        It stays out until its final response, or until the server says that it does not know it. Without a
+        connection, CANCEL is sent even if there was no provisional response, which may have been lost.
+        """
+        self._connection_lost = True
+        if self.transaction is None or not self.awaits_final:
+            return
+        COUNTERS.add("server.lost_under_setup")
+        if self._cancel_outcome is None:
+            self._cancel_outcome = i.Outcome.RESET
+        self.transaction.limit_wait()
+        self.peer.cancel_when_connected(self)
+
     def _cancel(self) -> None:
-        if self._cancelled or self.transaction is None or self.hop is None:
+        if self._cancelled or self._connection_lost or self.transaction is None or self.hop is None:
             return
         self._cancelled = True
+        self.transaction.limit_wait()
         own = self.transaction.request
         headers = [(name, own.need(name)) for name in ("Via", "Max-Forwards", "From", "To", "Call-ID")]
         message = request("CANCEL", own.uri, [*headers, ("CSeq", f"{own.cseq[0]} CANCEL")])
-        self.peer.front.endpoint.transactions.send(message, self.hop, lambda _: None)
+        self.peer.front.endpoint.transactions.send(message, self.hop, self._handle_cancel_response)
+
+    def _handle_cancel_response(self, message: Message | None) -> None:
+        """481: the server has no such INVITE, so no final response to it will come."""
+        if message is not None and message.status == UNKNOWN_TRANSACTION:
+            self.end(self._cancel_outcome or i.Outcome.CANCELLED)
 
     def _handle_response(self, message: Message | None) -> None:
         if message is None:
@@ -148,6 +195,8 @@
                 self._handle_provisional(message)
         elif message.status >= 300:
             outcome, cause = OUTCOMES.get(message.status, (i.Outcome.FAILED, i.Cause.OTHER))
+            if outcome is i.Outcome.CANCELLED and self._cancel_outcome is not None:
+                outcome = self._cancel_outcome
             self.end(outcome, cause)
         else:
             self._handle_2xx(message)
@@ -173,11 +222,13 @@
         if tag not in self._released_forks and len(self._released_forks) < MAX_FORKS:
             COUNTERS.add("server.forked_answers")
             other = self._released_forks[tag] = dialogs.uac_dialog(self.transaction.request, message)
-            self.hop.send(other.request("ACK", self.peer.front.via(self.hop)).encode())
-            self.peer.front.bye(other, self.peer.current_hop(self.hop), CUT)
+            hop = self.peer.current_hop(self.hop)
+            hop.send(other.request("ACK", self.peer.front.via(hop)).encode())
+            self.peer.front.bye(other, hop, CUT)
         elif tag in self._released_forks:
             fork_dialog = dialogs.uac_dialog(self.transaction.request, message)  # its ACK was lost
-            self.hop.send(fork_dialog.request("ACK", self.peer.front.via(self.hop)).encode())
+            hop = self.peer.current_hop(self.hop)
+            hop.send(fork_dialog.request("ACK", self.peer.front.via(hop)).encode())
         return True
 
     def _handle_2xx(self, message: Message) -> None:
@@ -208,9 +259,10 @@
     def _acknowledge(self, message: Message, retransmission: bool) -> None:
         if self.dialog is None or self.hop is None:
             return
+        hop = self.peer.current_hop(self.hop)
         if self._ack is None:
-            self._ack = self.dialog.request("ACK", self.peer.front.via(self.hop))
-        self.hop.send(self._ack.encode())
+            self._ack = self.dialog.request("ACK", self.peer.front.via(hop))
+        hop.send(self._ack.encode())
         if retransmission:
             return
         front, name = self.peer.front, self.setup.name
--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -9,7 +9,7 @@
 from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
-from reedmount.fronts.retry_timer import RetryTimer
+from reedmount.fronts.retry_timer import MAX_RETRY_DELAY, RetryTimer
 from reedmount.fronts.sip import SipFront
 from reedmount.fronts.sip_server_leg import ServerLeg
 from reedmount.net.connection import EndReason
@@ -28,8 +28,9 @@
         self.legs: dict[str, ServerLeg] = {}
         self.established_legs: dict[str, ServerLeg] = {}
         self.waiting: list[ServerLeg] = []  # for the connection to be established
+        self._to_cancel: list[ServerLeg] = []  # their connection was lost: on the next one
         self._hop: TcpHop | None = None
-        self._reconnect_timer = RetryTimer(front.loop, self._check_process)
+        self._reconnect_timer = RetryTimer(front.loop, self._reconnect)
         self._actor: Actor[Setup | CancelSetup | Release | ListedServer | EndReason] = Actor(
             front.loop, self._handle
         )
@@ -39,7 +40,7 @@
     def is_finished(self) -> bool:
         """Whether the server was removed from the pool and has no attempts or calls left."""
         return self.entry.removed and not (
-            self.legs or self.established_legs or self.waiting or self._actor.pending
+            self.legs or self.established_legs or self.waiting or self._to_cancel or self._actor.pending
         )
 
     def ended(self, name: str) -> None:
@@ -59,6 +60,10 @@
             return self._connect()
         return used
 
+    def cancel_when_connected(self, leg: ServerLeg) -> None:
+        """Cancel an attempt whose connection was lost on the next connection."""
+        self._to_cancel.append(leg)
+
     def _handle(self, message: Setup | CancelSetup | Release | ListedServer | EndReason) -> None:
         match message:
             case Setup():
@@ -116,27 +121,42 @@
         return self._hop
 
     def _on_connected(self) -> None:
+        if self._hop is None:
+            return
+        to_cancel, self._to_cancel = self._to_cancel, []
+        for leg in to_cancel:
+            leg.cancel_on(self._hop)
         waiting, self.waiting = self.waiting, []
         for leg in waiting:
-            if self._hop is not None:
-                leg.start(self._hop)
+            leg.start(self._hop)
+        if to_cancel:
+            self.ended("")
 
     def _on_connection_lost(self, reason: EndReason) -> None:
-        """End the waiting attempts, which were never sent; transactions notify the others."""
+        """End the waiting attempts, which were never sent, and find out whether the process still runs."""
         log(f"{self.entry.server}: connection {reason.value}", f"sip.connection {reason.value}")
-        if self._hop is not None and self._hop.connection.ended:
-            self._hop = None
-            waiting, self.waiting = self.waiting, []
-            for leg in waiting:
-                leg.end(i.Outcome.UNREACHABLE)
-            if reason is EndReason.REFUSED:
-                self._end_established("it refuses connections")
-            elif self.established_legs:
-                self._reconnect_timer.schedule()
-
-    def _check_process(self) -> None:
-        """Connect again while calls are established: a refusal shows that the process has ended."""
-        if not self.established_legs or (self._hop is not None and not self._hop.connection.ended):
+        if self._hop is None or not self._hop.connection.ended:
+            return
+        if self.loop.clock.now() - self._hop.connection.opened_at >= MAX_RETRY_DELAY:
+            self._reconnect_timer.reset()
+        self._hop = None
+        waiting, self.waiting = self.waiting, []
+        for leg in waiting:
+            leg.end(i.Outcome.UNREACHABLE)
+        if reason is EndReason.REFUSED:
+            self._process_ended("it refuses connections")
+        elif self._needs_connection:
+            self._reconnect_timer.schedule()
+
+    @property
+    def _needs_connection(self) -> bool:
+        """Whether attempts have to be cancelled, or calls that the process may have lost are established."""
+        self._to_cancel = [leg for leg in self._to_cancel if leg.awaits_final]
+        return bool(self._to_cancel or self.established_legs)
+
+    def _reconnect(self) -> None:
+        """Connect again if needed: a refusal shows that the process has ended."""
+        if not self._needs_connection or (self._hop is not None and not self._hop.connection.ended):
             return
         try:
             self._connect()
@@ -145,8 +165,11 @@
             log(f"{self.entry.server}: {error}", "server.no_socket")
             self._reconnect_timer.schedule()
 
-    def _end_established(self, reason: str) -> None:
-        """End the calls of a process that no longer runs, so that their callers are told."""
+    def _process_ended(self, reason: str) -> None:
+        """End the attempts and calls of a process that no longer runs, so that their callers are told."""
+        to_cancel, self._to_cancel = self._to_cancel, []
+        for leg in to_cancel:
+            leg.process_ended()
         for leg in list(self.established_legs.values()):
             leg.dialog_ended()
             self.front.switch.call_lost(leg.setup.name, self.entry.server, reason)
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -181,7 +181,9 @@
 class ClientTransaction(Transaction):
     """A client transaction: sends a request and retransmits it until a response arrives.
 
-    The callback is called with each response, or with None if there is no final response.
+    The callback is called with each response, or with None if there is no final response. The loss of the
+    connection ends the transaction, unless its user handles it: the server's transaction goes on, and its
+    responses may come on another connection (18.2.2).
     """
 
     def __init__(
@@ -191,9 +193,10 @@
         hop: Hop,
         key: TransactionKey,
         on_response: ResponseCallback,
+        on_connection_lost: Callable[[], None] | None = None,
     ) -> None:
         super().__init__(layer, message, hop, key)
-        self._on_response = on_response
+        self._on_response, self._on_connection_lost = on_response, on_connection_lost
         self._encoded_ack: bytes | None = None
         hop.send(message.encode())
         COUNTERS.add(f"sip.out.{message.method}")
@@ -213,7 +216,7 @@
                 self._on_response(message)
             elif self.state is State.PROCEEDING:
                 self._on_response(message)  # 17.1.1.2: all provisional responses are passed on
-        elif self.state in (State.TRYING, State.PROCEEDING):
+        elif self.awaits_final:
             self._cancel_timers()
             self._handle_final(message)
         elif self.state is State.ACCEPTED and message.status < 300:
@@ -221,12 +224,22 @@
         elif self.state is State.COMPLETED and self._encoded_ack is not None:
             self.hop.send(self._encoded_ack)
 
-    def stop_retransmitting(self) -> None:
-        """Stop retransmitting an abandoned request; its responses are still passed to the user."""
-        if self.state is State.TRYING:
+    @property
+    def awaits_final(self) -> bool:
+        """Whether no final response has arrived."""
+        return self.state in (State.TRYING, State.PROCEEDING)
+
+    def limit_wait(self) -> None:
+        """Stop retransmitting an abandoned request; responses are passed on for 64 * T1 from now (9.1)."""
+        if self.awaits_final:
             self._cancel_timers()
             self._start_timer(self._layer.timers.timeout, self._on_timeout)
 
+    def move(self, hop: Hop) -> None:
+        """Continue on another hop after the connection was lost."""
+        self.hop = hop
+        self._layer.add_to_hop(self)
+
     def abandon(self) -> None:
         """End the transaction after a fault in handling its response; the user gets None."""
         self.end()
@@ -234,7 +247,9 @@
 
     def connection_lost(self) -> None:
         """Handle the loss of the connection that the request was sent on."""
-        if self.state in (State.TRYING, State.PROCEEDING):
+        if self._on_connection_lost is not None:
+            self._on_connection_lost()
+        elif self.awaits_final:
             self._on_timeout()
         else:
             self.end()
@@ -312,13 +327,19 @@
         self._client_transactions: dict[TransactionKey, ClientTransaction] = {}
         self._by_hop: dict[Hop, dict[Transaction, None]] = {}  # transactions by connection
 
-    def send(self, message: Message, hop: Hop, on_response: ResponseCallback) -> ClientTransaction:
+    def send(
+        self,
+        message: Message,
+        hop: Hop,
+        on_response: ResponseCallback,
+        on_connection_lost: Callable[[], None] | None = None,
+    ) -> ClientTransaction:
         """Start a client transaction; its branch must be unique."""
         key = client_transaction_key(message)
-        transaction = ClientTransaction(self, message, hop, key, on_response)
+        transaction = ClientTransaction(self, message, hop, key, on_response, on_connection_lost)
         if transaction.state is not State.TERMINATED:
             self._client_transactions[key] = transaction
-            self._add_to_hop(transaction)
+            self.add_to_hop(transaction)
         return transaction
 
     def handle_message(self, message: Message, hop: Hop) -> None:
@@ -342,7 +363,7 @@
             server.handle_retransmission()
         else:
             transaction = self._server_transactions[key] = ServerTransaction(self, message, hop, key)
-            self._add_to_hop(transaction)
+            self.add_to_hop(transaction)
             run_isolated(
                 "sip.request",
                 lambda: self._user.handle_request(transaction),
@@ -362,7 +383,7 @@
                 transaction.connection_lost()
         return [transaction for transaction in transactions if isinstance(transaction, ServerTransaction)]
 
-    def _add_to_hop(self, transaction: Transaction) -> None:
+    def add_to_hop(self, transaction: Transaction) -> None:
         """Index a transaction by its connection; UDP hops cannot be lost."""
         if transaction.hop.reliable:
             self._by_hop.setdefault(transaction.hop, {})[transaction] = None
--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -96,6 +96,117 @@
     stage.play(f"wait 300\n {other} expect INVITE\n {first} expect nothing")
 
 
+def ringing_then_lost(stage: SipStage, close: str = "close reset") -> tuple[str, str]:
+    """A call rings at one of two servers, whose connection ends: that server, and the other one."""
+    stage.play("phone send INVITE c1\n phone expect 100 c1")
+    stage.settle()
+    first = "server" if stage.peers["server"].inbox else "second"
+    stage.play(f"{first} expect INVITE\n {first} send 180 INVITE\n phone expect 180 c1\n {first} {close}")
+    return first, "second" if first == "server" else "server"
+
+
+@pytest.mark.parametrize("close", ["close", "close reset"])
+def test_no_second_attempt_begins_before_the_one_without_a_connection_is_over(close: str) -> None:
+    """The call was sent again 0.2 s after the reset, while the first attempt went on: it stood twice."""
+    stage = SipStage("server", "second", kind="tcp", max_attempts=2)
+    first, other = ringing_then_lost(stage, close)
+    stage.play(f"""
+        wait 150
+        {first} expect CANCEL
+        {first} send 200 CANCEL
+        wait 600
+        {other} expect nothing
+        {first} send 487 INVITE
+        {first} expect ACK
+        wait 300
+        {other} expect INVITE
+        {first} expect nothing
+    """)
+
+
+def test_an_answer_after_the_connection_was_lost_is_taken() -> None:
+    """It came on another connection, was dropped, and its call stood at the server without a caller."""
+    stage = SipStage("server", "second", kind="tcp", max_attempts=2)
+    first, other = ringing_then_lost(stage)
+    stage.play(f"""
+        wait 150
+        {first} expect CANCEL
+        {first} send 200 INVITE | answer
+        {first} expect ACK
+        phone expect 200 c1 body=answer
+        wait 1000
+        {other} expect nothing
+        phone send BYE c1
+        phone expect 200 c1
+        {first} expect BYE
+    """)
+
+
+def test_an_attempt_that_the_server_does_not_know_any_more_is_over() -> None:
+    stage = SipStage("server", "second", kind="tcp", max_attempts=2)
+    first, other = ringing_then_lost(stage)
+    stage.play(f"""
+        wait 150
+        {first} expect CANCEL
+        {first} send 481 CANCEL
+        wait 300
+        {other} expect INVITE
+        {first} send 200 INVITE
+        {first} expect ACK
+        {first} expect BYE
+    """)
+
+
+def test_an_attempt_at_a_process_that_has_ended_is_over() -> None:
+    stage = SipStage("server", "second", kind="tcp", max_attempts=2)
+    first, other = ringing_then_lost(stage)
+    stage.peers[first].stop()
+    stage.play(f"wait 400\n {other} expect INVITE\n {other} expect nothing")
+
+
+def test_the_cancel_is_sent_again_where_its_connection_is_lost_too() -> None:
+    stage = SipStage("server", "second", kind="tcp", max_attempts=2)
+    first, other = ringing_then_lost(stage)
+    stage.play(f"wait 150\n {first} expect CANCEL\n {first} close reset\n wait 250\n {first} expect CANCEL")
+    stage.play(f"{first} send 487 INVITE\n {first} expect ACK\n wait 300\n {other} expect INVITE")
+
+
+def test_a_caller_who_leaves_after_the_connection_was_lost_has_the_attempt_cancelled() -> None:
+    """Its CANCEL was written to the lost connection, and the call was set up for nobody."""
+    stage = SipStage("server", "second", kind="tcp", max_attempts=2)
+    first, other = ringing_then_lost(stage)
+    stage.play(f"""
+        wait 10
+        phone send CANCEL c1
+        phone expect 200 c1
+        phone expect 487 c1
+        wait 150
+        {first} expect CANCEL
+        {first} send 487 INVITE
+        {first} expect ACK
+        wait 500
+        {other} expect nothing
+    """)
+    assert stage.switch.is_idle
+
+
+def test_an_answer_sent_again_after_the_connection_was_lost_is_acknowledged_again() -> None:
+    """Its ACK was lost with the connection, and the server ended the call that nobody had acknowledged."""
+    stage = SipStage("server", kind="tcp")
+    stage.play(call("phone", "server") + "server close reset\n wait 150")
+    server = stage.peers["server"]
+    server.write(server.answer(200, "INVITE", "", {}, b"answer").encode())
+    stage.play("server expect ACK\n phone expect nothing")
+
+
+def test_an_abandoned_invite_without_a_final_response_is_forgotten() -> None:
+    """A cancelled INVITE that had rung was kept for ever where its server never answered it."""
+    stage = SipStage("server")
+    stage.play("phone send INVITE c1\n phone expect 100 c1\n server expect INVITE\n server send 180 INVITE")
+    stage.play("phone expect 180 c1\n phone send CANCEL c1\n wait 33000")
+    assert not stage.front.endpoint.transactions._client_transactions
+
+
 def board_told(*reports: tuple[str, bool, datetime | None]) -> list[ListedServer]:
     """What the core gets when the board tells these names, removals and starts of one address."""
     stage = SipStage()
