Keep of an open set-up what its response needs, and bound what calls may take

Cause: the whole message was kept for each open set-up, a tuple and two strings for each of some 4,000 fields, and the SIP front kept requests for 32 s after their final response.

Change: a request of more than 256 header lines is answered 400 and no more of it is read than its response needs; only those headers are kept of others; a finished transaction keeps its last response. All calls together have a budget of memory, half of it for clients that have had no call established; beyond it set-ups are refused with 503.

--- a/reedmount/core/ports.py
+++ b/reedmount/core/ports.py
@@ -25,6 +25,7 @@
     was_cut: bool = False
     caller_gives_up_at: datetime | None = None  # when the caller gives up, later than ``answer_by``
     reference: str = ""  # the caller's own id of the call, for records
+    size: int = 0  # of its message in bytes, of which the front keeps a part until the answer
 
 
 class Progress(Enum):
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -26,6 +26,9 @@
 
 NO_REPORT = i.LoadReport()
 MAX_ENDED_NAMES = 4096  # names of ended calls
+CALL_OVERHEAD = 4096  # bytes of memory that a call takes beside its message
+MAX_CALL_MEMORY = 48 << 20  # bytes, of all open and established calls
+UNPROVEN_SHARE = 0.5  # of that, for clients that have never had a call established
 
 
 @dataclass(slots=True)
@@ -40,6 +43,7 @@
     attempt_out: int | None = None  # number of the attempt that is out
     server: str = ""
     sent_at: datetime | None = None
+    memory: int = 0  # bytes
     settled: bool = False  # answered or abandoned: no final answer is due
     is_established: bool = False
     release_also_at: set[str] = field(default_factory=set)  # servers to send a release after its end
@@ -63,6 +67,7 @@
         self._next_number = 1
         self._unknown_release_callbacks: list[Callable[[str, int], None]] = []
         self._ended_names: dict[str, None] = {}  # names of ended calls, since servers repeat releases
+        self._call_memory = 0  # bytes, of all calls
         self._unsent: dict[int, datetime] = {}  # calls with no attempt sent yet, oldest first
         self._reports: dict[str, i.LoadReport] = {}  # of this turn
         self.recorder: CallRecorder | None = None
@@ -124,6 +129,17 @@
 
     # --- from the fronts ---
 
+    def has_room_for(self, size: int, proven: bool) -> bool:
+        """Whether there is memory for a call whose message has so many bytes.
+
+        ``proven`` tells whether its client has had calls established: others may take a share only.
+        """
+        limit = MAX_CALL_MEMORY if proven else MAX_CALL_MEMORY * UNPROVEN_SHARE
+        if self._call_memory + CALL_OVERHEAD + size <= limit:
+            return True
+        COUNTERS.add("calls.no_memory")
+        return False
+
     def offer(self, offer: Offer, caller: Caller) -> bool:
         """Accept a new call. False where its name is in use or its class unknown: the front answers that."""
         if offer.name in self._by_name or offer.call_class not in self.classes:
@@ -132,6 +148,7 @@
         COUNTERS.add("calls.taken")
         call = Call(self._next_number, offer, caller, self._clock.now())
         self._next_number += 1
+        self._set_memory(call, CALL_OVERHEAD + max(offer.size, len(offer.description)))
         self._by_number[call.number] = self._by_name[offer.name] = call
         self._unsent[call.number] = call.accepted_at
         if self.recorder is not None:
@@ -209,6 +226,8 @@
             self._drop(call)
             return False
         call.settled = call.is_established = True
+        call.offer = replace(call.offer, description=b"")
+        self._set_memory(call, CALL_OVERHEAD)
         self._notify_attempt(call.server, i.Outcome.COMPLETED)
         self._discard_unused_class(call.offer.call_class)
         COUNTERS.add("answered.stands")
@@ -506,7 +525,12 @@
         ):
             del self._dropped_classes[name], self.classes[name]
 
+    def _set_memory(self, call: Call, size: int) -> None:
+        self._call_memory += size - call.memory
+        call.memory = size
+
     def _drop(self, call: Call) -> None:
+        self._set_memory(call, 0)
         if self.recorder is not None:
             self.recorder.call_forgotten(call.offer.name, call.attempts, call.server)
         for server in sorted(call.release_also_at):
--- a/reedmount/fronts/client_connection.py
+++ b/reedmount/fronts/client_connection.py
@@ -17,7 +17,7 @@
 from reedmount.fronts.thin_protocol import build_bye, name_of, parse_offer, release_cause
 from reedmount.net.connection import Connection, EndReason
 from reedmount.sip.framing import next_frame
-from reedmount.sip.message import Message, SipError, parse_head, response
+from reedmount.sip.message import RESPONSE_HEADERS, Message, SipError, parse_head, response
 
 if TYPE_CHECKING:
     from reedmount.fronts.platform import Callers
@@ -276,6 +276,9 @@
                 self._callers.release_confirmed(message.call_id)
             return
         COUNTERS.add(f"in.caller.{message.method if message.method in KNOWN_METHODS else 'other'}")
+        if message.fault is not None:
+            self._reject_invalid(message, message.fault)
+            return
         match message.method:
             case "INVITE":
                 self._handle_invite(message)
@@ -304,11 +307,9 @@
             return
         try:
             offer = parse_offer(message, self._callers.loop.clock.now(), self._switch.classes)
+            message.keep(RESPONSE_HEADERS)
         except SipError as error:
-            COUNTERS.add("in.malformed")
-            log(f"caller: {error}", "refused")
-            self._write(response(message, error.status).encode(), "out.bad_request")
-            self._count_invalid()
+            self._reject_invalid(message, error)
             return
         if self.connection.peer_finished:
             COUNTERS.add("in.left")  # its client has closed since: an answer could not be delivered
@@ -318,6 +319,10 @@
             COUNTERS.add("in.too_many_open")
             self._write(response(message, REFUSED).encode(), "out.503")
             return
+        if not self._switch.has_room_for(offer.size, self.proven):
+            self._write(response(message, REFUSED).encode(), "out.503")
+            return
+        message.body = b""  # the offer has it
         self.open[name] = message
         self._callers.send_waiting_releases(self)
         shutdown = self._switch.lifecycle.shutdown
@@ -332,6 +337,14 @@
             self._reject(name, 400, [])
             self._count_invalid()
 
+    def _reject_invalid(self, message: Message, error: SipError) -> None:
+        """Answer a request that cannot be used; an ACK gets no answer."""
+        COUNTERS.add("in.malformed")
+        log(f"caller: {error}", "refused")
+        if message.method != "ACK":
+            self._write(response(message, error.status).encode(), "out.bad_request")
+        self._count_invalid()
+
     def _count_invalid(self) -> None:
         """Count an invalid message; a connection that keeps sending them is closed."""
         self._invalid_messages += 1
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -39,6 +39,7 @@
     Progress.RINGING: 180, Progress.FORWARDED: 181, Progress.QUEUED: 182, Progress.SESSION: 183,
 }  # fmt: skip
 SHUTDOWN_RETRY_AFTER = timedelta(seconds=5)  # for INVITEs during drain and shutdown
+BUSY_RETRY_AFTER = timedelta(seconds=2)  # for INVITEs while calls take all the memory that they may
 
 
 MergeKey = tuple[str, str, int]
@@ -341,6 +342,10 @@
             extra = [("Retry-After", str(SHUTDOWN_RETRY_AFTER // SECOND))]
             transaction.respond(response(message, 503, extra, tag=self.token()))
             return
+        if not self.switch.has_room_for(message.size, proven=True):
+            extra = [("Retry-After", str(BUSY_RETRY_AFTER // SECOND))]
+            transaction.respond(response(message, 503, extra, tag=self.token()))
+            return
         number = user_of(message.uri)
         kind = self.settings.class_of(number, message.get("X-Cos"))
         wait = self._answer_timeout(message, kind)
@@ -358,6 +363,7 @@
             description=message.body,
             caller_gives_up_at=gives_up_at,
             reference=message.call_id,
+            size=message.size,
         )
         if not self.switch.offer(offer, leg):
             leg.failed(name)
--- a/reedmount/fronts/thin_protocol.py
+++ b/reedmount/fronts/thin_protocol.py
@@ -140,4 +140,5 @@
         redialled=message.get("X-Reattempt") not in (None, "", "0"),
         was_cut=bounded(legs, "again", 0, 0, 1) == 1,
         caller_gives_up_at=now + wait,
+        size=message.size,
     )
--- a/reedmount/sip/endpoint.py
+++ b/reedmount/sip/endpoint.py
@@ -16,6 +16,7 @@
 from reedmount.sip.framing import next_message
 from reedmount.sip.message import (
     MAX_MESSAGE_SIZE,
+    RESPONSE_HEADERS,
     Message,
     SipError,
     first_value,
@@ -36,6 +37,10 @@
 )
 
 MAX_CONNECTIONS = 512
+# The headers of a request that are used; what is kept of it has no others.
+REQUEST_HEADERS = RESPONSE_HEADERS | {
+    "contact", "route", "record-route", "max-forwards", "require", "expires", "reason", "x-cos",
+}  # fmt: skip
 PING, PONG = b"\r\n\r\n", b"\r\n"
 
 
@@ -217,8 +222,10 @@
         COUNTERS.add(f"sip.in.{'request' if message.is_request else 'response'}")
         try:
             check_headers(message)
-            if isinstance(hop, UdpHop) and message.is_request:
-                hop = self._response_hop(message, hop)
+            if message.is_request:
+                message.keep(REQUEST_HEADERS)
+                if isinstance(hop, UdpHop):
+                    hop = self._response_hop(message, hop)
             self.transactions.handle_message(message, hop)
         except SipError as error:
             self.refuse(message, error, hop)
--- a/reedmount/sip/message.py
+++ b/reedmount/sip/message.py
@@ -6,11 +6,21 @@
 from dataclasses import dataclass, field
 
 MAX_MESSAGE_SIZE = 16384  # bytes
+MAX_HEADER_LINES = 256  # a message passes 70 hops at most, each with a Via and a Record-Route
+MAX_RESPONSE_VIAS = 128  # in the response to a request that is rejected for its number of header lines
+RESPONSE_HEADERS = frozenset(("via", "from", "to", "call-id", "cseq"))  # copied from a request
 VERSION = "SIP/2.0"
 COMPACT_FORMS = {
     "v": "via", "f": "from", "t": "to", "i": "call-id", "m": "contact", "l": "content-length",
     "c": "content-type", "k": "supported", "s": "subject", "e": "content-encoding",
 }  # fmt: skip
+# Names of RESPONSE_HEADERS as they may be written, and their first letters.
+RESPONSE_HEADER_FORMS = RESPONSE_HEADERS | {
+    form for form, name in COMPACT_FORMS.items() if name in RESPONSE_HEADERS
+}
+RESPONSE_INITIALS = frozenset(
+    initial for form in RESPONSE_HEADER_FORMS for initial in (form[0], form[0].upper())
+)
 REASON_PHRASES = {
     100: "Trying", 180: "Ringing", 181: "Call Is Being Forwarded", 182: "Queued", 183: "Session Progress",
     200: "OK", 400: "Bad Request", 405: "Method Not Allowed",
@@ -44,6 +54,8 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     index: dict[str, str] | None = None  # of a parsed message: first values by lower-case name
+    head_size: int = 0  # of a parsed message, in bytes
+    fault: SipError | None = None  # why a parsed request is rejected; it has only the headers for a response
 
     @property
     def is_request(self) -> bool:
@@ -72,6 +84,17 @@
             raise SipError(400, f"{name} is missing")
         return value
 
+    @property
+    def size(self) -> int:
+        """The size of a parsed message in bytes."""
+        return self.head_size + len(self.body)
+
+    def keep(self, names: frozenset[str]) -> None:
+        """Drop all headers but these (lower-case names): a message that is kept should be small."""
+        self.headers = [(key, value) for key, value in self.headers if key.lower() in names]
+        if self.index is not None:
+            self.index = {name: value for name, value in self.index.items() if name in names}
+
     @property
     def call_id(self) -> str:
         """The Call-ID; raises SipError if it is missing."""
@@ -109,7 +132,7 @@
         name = key.lower()
         if name == "to" and tag and status > 100 and ";tag=" not in value:
             value = f"{value};tag={tag}"
-        if name in ("via", "from", "to", "call-id", "cseq"):
+        if name in RESPONSE_HEADERS:
             headers.append((key, value))
     return Message(
         status=status, reason=REASON_PHRASES.get(status, "Other"), headers=[*headers, *extra], body=body
@@ -126,7 +149,12 @@
     start_line, *lines = text.split("\n")
     message = _parse_start_line(start_line)
     index: dict[str, str] = {}
-    is_folded = "\n " in text or "\n\t" in text
+    if len(lines) > MAX_HEADER_LINES:
+        message.fault = SipError(400, f"more than {MAX_HEADER_LINES} header lines")
+        if not message.is_request:
+            raise message.fault
+        lines = _response_lines(lines)
+    is_folded = message.fault is None and ("\n " in text or "\n\t" in text)
     for line in _unfold(lines) if is_folded else lines:
         if not line:
             continue
@@ -137,10 +165,24 @@
         if names[1] in SINGLE_VALUE_HEADERS and names[1] in index:
             raise SipError(400, f"{names[0]} stands twice")
         index.setdefault(names[1], value)
-    message.index = index
+    message.index, message.head_size = index, len(head)
     return message
 
 
+def _response_lines(lines: list[str]) -> list[str]:
+    """Return those header lines that a response needs, with ``MAX_RESPONSE_VIAS`` of Via at most."""
+    wanted: list[str] = []
+    via_count = 0
+    for line in lines:
+        if line[:1] not in RESPONSE_INITIALS:
+            continue
+        name = line.partition(":")[0].strip().lower()
+        via_count += name in ("via", "v")
+        if name in RESPONSE_HEADER_FORMS and (via_count <= MAX_RESPONSE_VIAS or name not in ("via", "v")):
+            wanted.append(line)
+    return wanted
+
+
 def _unfold(lines: list[str]) -> list[str]:
     """Join each header line with those that continue it (RFC 3261, 7.3.1), at a cost linear in their size."""
     unfolded: list[list[str]] = []
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -125,6 +125,8 @@
             COUNTERS.add("sip.second_answers")
             return
         self._last_response = message.encode()
+        if message.status >= 200:
+            self.request = Message(method=self.request.method, uri=self.request.uri)  # no longer needed
         self.hop.send(self._last_response)
         COUNTERS.add(f"sip.out.{message.status}")
         timers = self._layer.timers
@@ -410,6 +412,8 @@
 
 def check_headers(message: Message) -> None:
     """Check the mandatory headers (8.1.1); raises SipError with the status for the response."""
+    if message.fault is not None:
+        raise message.fault
     for name in ("Via", "From", "To", "Call-ID", "CSeq"):
         message.need(name)
     _, method = message.cseq
