Handle some messages of each connection in a turn, so that a close is noticed in time

Cause: everything that had been read was handled before the sockets were looked at again, the SIP front never asked whether its client had closed, and open set-ups were cancelled only once all unread data had been read.

Releases that lie there are handled as before.

--- a/reedmount/fronts/client_connection.py
+++ b/reedmount/fronts/client_connection.py
@@ -38,6 +38,7 @@
 MAX_UNCONFIRMED_RELEASES = 256  # on each connection
 MAX_OPEN = 128  # set-ups on one connection
 MAX_OPEN_UNPROVEN = 16  # on one on which no call was established yet
+UNPROVEN_BATCH, PROVEN_BATCH = 16, 128  # messages handled before other connections have their turn
 MAX_INVALID_MESSAGES = 8  # the connection is closed at so many
 CONNECTION_NUMBERS = itertools.count(1)
 REFUSED, FAILED = 503, 500
@@ -105,6 +106,7 @@
             sock,
             lambda _: self._actor.post(DATA_RECEIVED),
             lambda _, how: self._actor.post(ConnectionLost(how)),
+            in_turns=True,
         )
 
     # The core's Caller protocol.
@@ -169,16 +171,21 @@
     def _handle(self, item: DataReceived | ConnectionLost) -> None:
         match item:
             case DataReceived():
-                self._read()
+                if self.connection.peer_finished:
+                    self._abandon_open()
+                self._callers.loop.readers.add(self._read)
             case ConnectionLost(how):
                 if self.open or self.established:
                     self._callers.loop.trace("client.ended", link=self.number, how=f'"{how.value}"',
                                              open=len(self.open), standing=len(self.established))  # fmt: skip
                 self._on_ended()
 
-    def _read(self) -> None:
-        ring = self.connection.incoming
-        while not self.connection.ended:
+    def _read(self) -> bool:
+        """Handle a few messages; whether more may have been received."""
+        ring, limit = self.connection.incoming, PROVEN_BATCH if self.proven else UNPROVEN_BATCH
+        for _ in range(limit):
+            if self.connection.ended:
+                return False
             try:
                 frame = next_frame(ring)
                 if frame is None:
@@ -194,11 +201,16 @@
                 COUNTERS.add("in.malformed")
                 log(f"caller: {error}", "malformed")
                 self.close(f"malformed message: {error.status}")
-                return
+                return False
+        else:
+            self.connection.set_reading(False)
+            return True
+        self.connection.set_reading(True)
         if not len(ring):
             self.partial_since = None
         elif self.partial_since is None:
             self.partial_since = self._callers.loop.clock.now()
+        return False
 
     def is_expired(self, now: datetime) -> bool:
         """Whether it may be closed: silent, stuck in a message, never answered, or idle."""
@@ -400,13 +412,18 @@
         if not self.open:
             self._callers.no_open_setups(self)
 
+    def _abandon_open(self) -> None:
+        """Abandon the open set-ups, as the client has left: nothing can be answered any more."""
+        for name in list(self.open):
+            del self.open[name]
+            self._switch.caller_abandoned(name)
+
     def _on_ended(self) -> None:
         """Abandon the open set-ups of an ended connection; send its unconfirmed releases on another one."""
         self._actor.stop()
+        self._callers.loop.readers.discard(self._read)
         self._callers.remove(self)
-        for name in list(self.open):
-            del self.open[name]
-            self._switch.caller_abandoned(name)
+        self._abandon_open()
         byes, self._byes = self._byes, {}
         for name, cause in byes.items():
             self._callers.release(name, cause, None)
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -346,6 +346,10 @@
         number = user_of(message.uri)
         kind = self.settings.class_of(number, message.get("X-Cos"))
         wait = self._answer_timeout(message, kind)
+        if isinstance(transaction.hop, TcpHop) and transaction.hop.connection.peer_finished:
+            COUNTERS.add("sip.in.left")  # its client has closed since: an answer could not be delivered
+            transaction.end()
+            return
         gives_up_at = self.loop.clock.now() + wait
         name = f"sip-{self.token()}"
         offer = Offer(
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -10,7 +10,7 @@
 
 from reedmount.core.actors import Timer
 from reedmount.core.checks import log
-from reedmount.net.loop import PEER_CLOSED, READ, WRITE, Loop
+from reedmount.net.loop import BROKEN, PEER_CLOSED, READ, WRITE, Loop
 from reedmount.net.ring import Ring
 
 CHUNK_SIZE = 65536
@@ -53,7 +53,10 @@
         on_end: Callable[[Connection, EndReason], None],
         on_sent: Callable[[Connection], None] = lambda _: None,
         urgent: bool = False,
+        in_turns: bool = False,
     ) -> None:
+        """With ``in_turns``, nothing is read after data until the owner calls ``set_reading``."""
+        self.in_turns = in_turns
         self.incoming = Ring(MAX_INCOMING)
         self.connected = True
         self.ended = False
@@ -66,6 +69,8 @@
         self._timer: Timer | None = None
         self._close_when_sent = False
         self._watched_events = 0
+        self._reading = True
+        self._unhandled = False  # the owner sets reading again once it has handled what was received
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._watch()
@@ -100,6 +105,14 @@
         connection._timer = loop.call_later(timeout, connection._on_connect_timeout)
         return connection
 
+    def set_reading(self, reading: bool) -> None:
+        """Read no further while the owner has complete messages left; the peer's close is noticed still."""
+        if reading:
+            self._unhandled = False
+        if reading != self._reading and not self.ended:
+            self._reading = reading
+            self._watch()
+
     def _on_connect_timeout(self) -> None:
         if not self.connected:
             self.close(EndReason.NEVER_UP)
@@ -205,7 +218,11 @@
             self.close()
 
     def _watch(self) -> None:
-        events = READ | PEER_CLOSED if self.connected and not self._outgoing else READ | WRITE | PEER_CLOSED
+        events = 0 if self.connected and not self._outgoing else WRITE
+        if self._reading:
+            events |= READ | PEER_CLOSED
+        elif not self.peer_finished:
+            events |= PEER_CLOSED
         if events != self._watched_events:
             self._watched_events = events
             self._loop.watch(self._sock.fileno(), events, self._on_events, self._urgent)
@@ -226,9 +243,17 @@
                 self._flush()
         elif events & WRITE and not self.ended:
             self._flush()
-        self.peer_finished = self.peer_finished or bool(events & PEER_CLOSED)
-        if not self.ended and events & ~WRITE:
+        peer_finished_now = bool(events & (PEER_CLOSED | BROKEN)) and not self.peer_finished
+        self.peer_finished = self.peer_finished or peer_finished_now
+        if self.ended or not events & ~WRITE:
+            return
+        if self._unhandled:
+            self.set_reading(False)  # or its end would be reported before its last messages are handled
+        if self._reading:
             self._read()
+        elif peer_finished_now:
+            self._watch()
+            self._on_data(self)
 
     def _read(self) -> None:
         """Read once per loop iteration, so that the owner can consume the data and others are served."""
@@ -249,6 +274,7 @@
         self.last_received_at = self._loop.clock.now()
         self.incoming.write(data)
         if len(self.incoming) >= self.incoming.needed:  # else the message is still incomplete
+            self._unhandled = self.in_turns
             self._on_data(self)
 
     def _flush(self) -> None:
--- a/reedmount/net/loop.py
+++ b/reedmount/net/loop.py
@@ -10,8 +10,10 @@
 from reedmount.core.actors import Scheduler
 from reedmount.core.background import Background
 from reedmount.core.clock import ZERO, Clock
+from reedmount.net.read_scheduler import ReadScheduler
 
 READ, WRITE, PEER_CLOSED = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
+BROKEN = select.EPOLLERR | select.EPOLLHUP  # reported whether watched or not
 MAX_POLL_WAIT = timedelta(seconds=1)
 URGENT_CHECK_INTERVAL = 32  # callbacks between two checks of the urgent descriptors
 
@@ -22,6 +24,7 @@
     def __init__(self, clock: Clock) -> None:
         super().__init__(clock)
         self.background = Background(self)
+        self.readers = ReadScheduler(self)
         self._epoll = select.epoll()
         self._urgent = select.epoll()  # nested in the other epoll; its descriptors are served first
         self._epoll.register(self._urgent.fileno(), READ)
@@ -59,8 +62,9 @@
     def turn(self, max_wait: timedelta) -> bool:
         """Run one iteration: wait for events, at most ``max_wait``, and run their handlers and all callbacks
         that these schedule. Returns whether there was any work."""
+        self.readers.begin_turn()
         busy = self._drain()
-        wait = ZERO if busy or self.background.waiting else max_wait
+        wait = ZERO if busy or self.readers.waiting or self.background.waiting else max_wait
         if self._timers:
             wait = max(ZERO, min(wait, self._timers[0].at - self.clock.now()))
         ready = self._epoll.poll(wait.total_seconds())
@@ -73,6 +77,9 @@
                 self._check_urgent()
         busy = self._run_timers() or busy
         busy = self._drain() or busy
+        if self.readers.run():
+            busy = True
+            self._drain()
         return self.background.run(busy) or busy
 
     def close(self) -> None:
--- a/reedmount/sip/endpoint.py
+++ b/reedmount/sip/endpoint.py
@@ -40,6 +40,7 @@
 )
 
 MAX_CONNECTIONS = 512
+MESSAGES_PER_TURN = 32  # of one connection, before others have their turn
 MAX_READS_PER_TURN = 1024  # datagrams read from a socket in one turn of the loop
 MAX_DATAGRAMS_PER_TURN = 8  # datagrams handled in one turn of the loop
 # The headers of a request that are used; what is kept of it has no others.
@@ -79,9 +80,12 @@
         self._endpoint = endpoint
         self.ipv6 = sock.family == socket.AF_INET6
         self._actor: Actor[EndReason | None] = Actor(endpoint.loop, self._handle_event)
+        self._more = False  # messages are left after a turn
         self.on_lost: Callable[[EndReason], None] | None = None
         self.on_connected: Callable[[], None] | None = None
-        self.connection = Connection(endpoint.loop, sock, self._on_data, self._on_end, self._on_sent)
+        self.connection = Connection(
+            endpoint.loop, sock, self._on_data, self._on_end, self._on_sent, in_turns=True
+        )
 
     @classmethod
     def dial(cls, endpoint: Endpoint, address: Address, timeout: timedelta) -> TcpHop:
@@ -89,10 +93,12 @@
         hop = cls.__new__(cls)
         hop._endpoint, hop.ipv6 = endpoint, ":" in address[0]
         hop._actor = Actor(endpoint.loop, hop._handle_event)
+        hop._more = False
         hop.on_lost = hop.on_connected = None
         hop.connection = Connection.dial(
             endpoint.loop, address, timeout, hop._on_data, hop._on_end, hop._on_sent
         )
+        hop.connection.in_turns = True
         return hop
 
     def send(self, data: bytes) -> None:
@@ -115,7 +121,15 @@
             if self.on_lost is not None:
                 self.on_lost(item)
             return
+        if self.connection.peer_finished:
+            self._endpoint.peer_finished(self)
+        self._endpoint.loop.readers.add(self._read_some)
+
+    def _read_some(self) -> bool:
+        """Handle a few messages; whether more may have been received."""
+        self._more = False
         run_isolated("sip.stream", self._read, self._abort)
+        return self._more
 
     def _answer_keep_alive(self, ring: Ring) -> None:
         """Answer keep-alives (RFC 5626, 4.4.1); several at once get one answer, which limits their cost."""
@@ -133,15 +147,19 @@
             self.on_lost(EndReason.RESET)
 
     def _read(self) -> None:
-        while not self.connection.ended:
+        for _ in range(MESSAGES_PER_TURN):
+            if self.connection.ended:
+                return
             ring = self.connection.incoming
             if ring.peek(len(PING)) == PING:
                 self._answer_keep_alive(ring)
             if PING.startswith(ring.peek(len(PING))):
+                self.connection.set_reading(True)
                 return  # empty, or possibly an incomplete ping
             try:
                 message = next_message(ring)
                 if message is None:
+                    self.connection.set_reading(True)
                     return
             except SipError as error:
                 # The stream is no longer in sync: send an error response if the head is readable, and close.
@@ -150,6 +168,8 @@
                 self._endpoint.connection_lost(self, EndReason.OURS)
                 return
             self._endpoint.handle_message(message, self)
+        self.connection.set_reading(False)
+        self._more = True
 
 
 def mark_source(message: Message, received: str, rport: str) -> None:
@@ -248,8 +268,13 @@
     def connection_lost(self, hop: TcpHop, _: EndReason) -> None:
         """Report the end of a connection to its transactions."""
         self._hops.pop(hop, None)
+        self.loop.readers.discard(hop._read_some)
         self.on_hop_lost(self.transactions.hop_lost(hop))
 
+    def peer_finished(self, hop: TcpHop) -> None:
+        """Report that a peer has closed its side, while messages of it may still be unread."""
+        self.on_hop_lost(self.transactions.server_transactions_of(hop))
+
     def _response_hop(self, message: Message, hop: UdpHop) -> UdpHop:
         """Return the hop for responses: the source address; the Via port unless rport is set (RFC 3581)."""
         via = top_via(message)
--- a/reedmount/sip/transaction.py
+++ b/reedmount/sip/transaction.py
@@ -395,6 +395,10 @@
                 transaction.connection_lost()
         return [transaction for transaction in transactions if isinstance(transaction, ServerTransaction)]
 
+    def server_transactions_of(self, hop: Hop) -> list[ServerTransaction]:
+        """Return the server transactions of a connection."""
+        return [item for item in self._by_hop.get(hop, ()) if isinstance(item, ServerTransaction)]
+
     def add_to_hop(self, transaction: Transaction) -> None:
         """Index a transaction by its connection; UDP hops cannot be lost."""
         if transaction.hop.reliable:
