Refuse an id that may have run when it comes again, also at an upgrade's other process

Cause: a name was refused only while its call was open; once the client had left, the attempt was cancelled and the name free. On the SIP front the transaction went with its connection. The processes of an upgrade did not name their calls to each other.

Change: a name that was sent to a call server is refused when it comes again, failed where it must not run twice; each process of an upgrade names the calls it takes to the other; the SIP front keeps the keys of calls whose client's connection was lost.

--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -65,7 +65,8 @@
         self._by_name: dict[str, Call] = {}
         self._next_number = 1
         self._unknown_release_callbacks: list[Callable[[str, int], None]] = []
-        self._ended_names: dict[str, None] = {}  # names of ended calls, since servers repeat releases
+        # Names of ended calls, since servers repeat releases and clients set-ups: whether a server had them.
+        self._ended_names: dict[str, bool] = {}
         self._call_memory = 0  # bytes, of all calls
         self._unsent: dict[int, datetime] = {}  # calls with no attempt sent yet, oldest first
         self._reports: dict[str, i.LoadReport] = {}  # of this turn
@@ -98,6 +99,26 @@
         """Whether a call of this name is open or has ended recently."""
         return name in self._by_name or name in self._ended_names
 
+    def may_have_run(self, name: str) -> bool:
+        """Whether a call of this name, whose caller has left or that has ended, was sent to a server."""
+        call = self._by_name.get(name)
+        if call is not None:
+            return call.settled and not call.is_established and call.attempts > 0
+        return self._ended_names.get(name, False)
+
+    def has_been_sent(self, name: str) -> bool:
+        """Whether an open call of this name was sent to a server."""
+        call = self._by_name.get(name)
+        return call is not None and call.attempts > 0
+
+    def names_taken(self) -> list[str]:
+        """The names of all calls that are open or established, or ended lately and may have run."""
+        return [*self._by_name, *(name for name, ran in self._ended_names.items() if ran)]
+
+    def is_repeatable(self, call_class: str) -> bool:
+        """Whether a call of this class may run twice."""
+        return self.classes[call_class].effect is i.Effect.REPEATABLE
+
     @property
     def clock(self) -> Clock:
         """The clock of the event loop."""
@@ -187,7 +208,7 @@
     def _abort(self, call: Call, reason: str) -> None:
         """End an open call whatever the module would still try: answer its caller and cancel its attempt."""
         name, kind = call.offer.name, self.classes[call.offer.call_class]
-        safe_to_retry = not call.attempts or kind.effect is i.Effect.REPEATABLE
+        safe_to_retry = not call.attempts or self.is_repeatable(kind.name)
         self._inbox.post(i.CallerAbandoned(call.number))
         if safe_to_retry:
             self._answer(call, "refused", reason, lambda call: call.caller.refused(name, ZERO))
@@ -298,7 +319,7 @@
         if call is None or not call.is_established:
             if call is None and name not in self._ended_names:
                 # From before a restart: a front may know its caller.
-                self._remember_ended(name)
+                self._remember_ended(name, ran=True)
                 COUNTERS.add("released.unknown")
                 self._trace("call.released_unknown", call=name, server=server or "-", cause=cause)
                 for callback in self._unknown_release_callbacks:
@@ -513,8 +534,8 @@
         if call.attempt_out is None:
             self._drop(call)
 
-    def _remember_ended(self, name: str) -> None:
-        self._ended_names[name] = None
+    def _remember_ended(self, name: str, ran: bool) -> None:
+        self._ended_names[name] = ran
         if len(self._ended_names) > MAX_ENDED_NAMES:
             del self._ended_names[next(iter(self._ended_names))]
 
@@ -534,7 +555,7 @@
             self.recorder.call_forgotten(call.offer.name, call.attempts, call.server)
         for server in sorted(call.release_also_at):
             self._server_side.release(server, call.offer.name, CUT)
-        self._remember_ended(call.offer.name)
+        self._remember_ended(call.offer.name, call.attempts > 0)
         self._by_number.pop(call.number, None)
         self._unsent.pop(call.number, None)
         self._discard_unused_class(call.offer.call_class)
--- a/reedmount/fronts/client_connection.py
+++ b/reedmount/fronts/client_connection.py
@@ -331,6 +331,12 @@
             COUNTERS.add("in.too_many_open")
             self._write(response(message, REFUSED).encode(), "out.503")
             return
+        if self._callers.may_have_run(name):
+            # Its client has left and comes again: the name was sent to a server, here or by another process.
+            COUNTERS.add("in.came_again")
+            status = REFUSED if self._switch.is_repeatable(offer.call_class) else FAILED
+            self._write(response(message, status).encode(), f"out.{status}")
+            return
         if not self._switch.has_room_for(offer, self.proven):
             self._write(response(message, REFUSED).encode(), "out.503")
             return
@@ -348,6 +354,8 @@
         if not self._switch.offer(offer, self):
             self._reject(name, 400, [])
             self._count_invalid()
+            return
+        self._callers.notify_taken([name])
 
     def _reject_invalid(self, message: Message, error: SipError) -> None:
         """Answer a request that cannot be used; an ACK gets no answer."""
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -4,6 +4,7 @@
 
 import heapq
 import socket
+from collections.abc import Sequence
 from datetime import timedelta
 
 from reedmount.core.background import Slices, Urgency
@@ -28,6 +29,8 @@
 RELAY_INTERVAL = timedelta(milliseconds=250)
 UNWATCHED_DESCRIPTORS = 6  # descriptors of a process that its event loop does not watch
 SPARE_DESCRIPTORS = 8  # kept free for the next connections that are dialled or accepted
+NAMES_PER_MESSAGE = 128  # of calls, to the other process of an upgrade; a message has 4 KiB
+MAX_NAMES_ELSEWHERE = 16384  # names of calls of the other process
 MIN_CONNECTIONS = 8  # allowed however many descriptors the other process of an upgrade holds
 
 
@@ -53,6 +56,7 @@
         self._changed_at = loop.clock.now()  # when a connection was last accepted or ended
         self.clients_by_call: dict[str, ClientConnection] = {}  # where established calls were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
+        self._taken_elsewhere: dict[str, None] = {}  # names of calls of the other process of an upgrade
         self.listener = Listener(loop, given or bind(address, shared=True), self._accept)
         self._unconfirmed: dict[str, list[ClientConnection]] = {}  # releases, and where each was sent
         self._confirming = False  # whether clients confirm releases, which is optional
@@ -67,6 +71,7 @@
         self.handover_peer.on("server_bye", self._on_server_bye)
         self.handover_peer.on("release", self._on_release)
         self.handover_peer.on("held", self._on_descriptors)
+        self.handover_peer.on("taken", self._on_taken)
         loop.background.every("links", SWEEP_INTERVAL, self._sweep, Urgency.SWEEP)
 
     @property
@@ -102,6 +107,28 @@
     def _on_descriptors(self, message: HandoverMessage) -> None:
         self._peer_descriptors = int(message["count"])
 
+    def may_have_run(self, name: str) -> bool:
+        """Whether a call of this name that is over may have run here or in the other process."""
+        return name in self._taken_elsewhere or self.switch.may_have_run(name)
+
+    def join(self, successor: socket.socket) -> None:
+        """Connect to a successor, and name the calls that it must not take a second time."""
+        self.handover_peer.join(successor)
+        self.notify_taken(self.switch.names_taken())
+
+    def notify_taken(self, names: Sequence[str]) -> None:
+        """Name calls that this process has taken to the other one, if there is one."""
+        if self.handover_peer.connected:
+            for begin in range(0, len(names), NAMES_PER_MESSAGE):
+                self.handover_peer.notify("taken", names=names[begin : begin + NAMES_PER_MESSAGE])
+
+    def _on_taken(self, message: HandoverMessage) -> None:
+        """The other process has taken calls: they must not run here as well."""
+        for name in message["names"]:
+            self._taken_elsewhere[str(name)] = None
+        while len(self._taken_elsewhere) > MAX_NAMES_ELSEWHERE:
+            del self._taken_elsewhere[next(iter(self._taken_elsewhere))]
+
     def _on_bye(self, message: HandoverMessage) -> None:
         """A caller released a call that the other process does not know."""
         name, cause = _release_of(message)
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -39,6 +39,7 @@
     Progress.RINGING: 180, Progress.FORWARDED: 181, Progress.QUEUED: 182, Progress.SESSION: 183,
 }  # fmt: skip
 SHUTDOWN_RETRY_AFTER = timedelta(seconds=5)  # for INVITEs during drain and shutdown
+MAX_ABANDONED = 4096  # calls whose client's connection was lost, of which a repetition is refused
 CALL_MEMORY = 10240  # bytes that the two legs of a call take until its end
 BUSY_RETRY_AFTER = timedelta(seconds=2)  # for INVITEs while calls take all the memory that they may
 
@@ -214,6 +215,7 @@
         self.legs_by_dialog: dict[dialogs.DialogKey, Leg] = {}
         self.legs_by_name: dict[str, Leg] = {}
         self._by_merge_key: dict[MergeKey, Leg] = {}
+        self._abandoned: dict[MergeKey, None] = {}  # calls that ran when their client's connection was lost
         self._by_transaction: dict[ServerTransaction, Leg] = {}  # by INVITE transaction, until the leg ends
         self.server_legs: dict[dialogs.DialogKey, ServerSideLeg] = {}
         self.recorder: DialogRecorder | None = None
@@ -335,6 +337,12 @@
             return
         if not message.get("Contact"):
             raise SipError(400, "Contact is missing")
+        if request_merge_key(message) in self._abandoned:
+            # Its client lost its connection and comes again: the call may have run.
+            COUNTERS.add("sip.in.came_again")
+            extra = [("Retry-After", str(BUSY_RETRY_AFTER // SECOND))]
+            transaction.respond(response(message, 503, extra, tag=self.token()))
+            return
         if request_merge_key(message) in self._by_merge_key:
             # 8.2.2.2: the call would be set up twice.
             raise SipError(482, "merged request: the same call arrived by another path")
@@ -413,12 +421,20 @@
                 server_leg.dialog_ended()
                 self.switch.server_released(server_leg.setup.name, release_cause(message))
 
+    def _remember_abandoned(self, leg: Leg) -> None:
+        if not self.switch.has_been_sent(leg.name):
+            return
+        self._abandoned[leg.merge_key] = None
+        if len(self._abandoned) > MAX_ABANDONED:
+            del self._abandoned[next(iter(self._abandoned))]
+
     def _on_hop_lost(self, transactions: list[ServerTransaction]) -> None:
         """Abandon the calls being set up over a lost client connection: their callers cannot be answered."""
         for transaction in transactions:
             leg = self._by_transaction.get(transaction)
             if leg is not None and leg.awaits_answer:
                 COUNTERS.add("sip.clients_lost")
+                self._remember_abandoned(leg)
                 self.switch.caller_abandoned(leg.name)
                 leg.transaction.end()
                 self.remove_leg(leg)
--- a/reedmount/node.py
+++ b/reedmount/node.py
@@ -112,7 +112,7 @@
 
         def joined(successor: socket.socket) -> None:
             callers.reserve = SUCCESSOR_SOCKETS
-            callers.handover_peer.join(successor)
+            callers.join(successor)
 
         def lost() -> None:
             log("the other process is gone")
