Move calls to a new server at an old address, and release the others at both sides

Cause: a removed name counted as a machine from which nothing more will come, though another process answered its connections; and until the old name was removed it went on getting set-ups, which reached the new process.

--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -70,6 +70,7 @@
         self._call_memory = 0  # bytes, of all calls
         self._unsent: dict[int, datetime] = {}  # calls with no attempt sent yet, oldest first
         self._reports: dict[str, i.LoadReport] = {}  # of this turn
+        self._by_address: dict[tuple[str, int], ListedServer] = {}  # the server last listed at each address
         self.recorder: CallRecorder | None = None
         self.on_attempt: Callable[[str, i.Outcome | None], None] | None = None  # None: sent
 
@@ -340,6 +341,20 @@
             if call.is_established and call.server == server and sent_before:
                 self._end_lost(call, reason)
 
+    def move_calls(self, server: str, successor: str, since: datetime) -> list[str]:
+        """Move the established calls that were sent to a server since another process has its address.
+
+        Returns their names. The others were at the process that has ended.
+        """
+        moved = []
+        for call in self._by_number.values():
+            sent_since = call.sent_at is not None and call.sent_at >= since
+            if call.is_established and call.server == server and sent_since:
+                self._trace("call.moved", call=call.offer.name, server=successor, before=server)
+                call.server = successor
+                moved.append(call.offer.name)
+        return moved
+
     def call_lost(self, name: str, server: str, reason: str) -> None:
         """End a call established at a server from which no release can be expected any more."""
         call = self._by_name.get(name)
@@ -376,6 +391,7 @@
         """Apply a pool list: to the server side first, so that nothing queued there goes to a drain."""
         self._trace("list.changed", version=version, kind=kind.value, servers=len(entries),
                     leaving=sum(not entry.serving for entry in entries))  # fmt: skip
+        entries = [*entries, *self._replaced(entries)]
         self._server_side.servers_changed(entries)
         listed = tuple(
             i.ServerEntry(
@@ -390,6 +406,23 @@
         self._inbox.post(i.ServerList(version, kind, listed))
         self.lifecycle.satisfy(Need.SERVERS)
 
+    def _replaced(self, entries: list[ListedServer]) -> list[ListedServer]:
+        """Return the removals of servers whose address another one has now, if the list has not told them."""
+        removed = {entry.server for entry in entries if entry.removed}
+        found = []
+        for entry in entries:
+            if entry.removed:
+                continue
+            previous = self._by_address.get(entry.address)
+            if previous is not None and previous.server not in {entry.server, *removed}:
+                found.append(replace(previous, serving=False, removed=True))
+            self._by_address[entry.address] = entry
+        for entry in (*entries, *found):
+            current = self._by_address.get(entry.address)
+            if entry.removed and current is not None and current.server == entry.server:
+                del self._by_address[entry.address]
+        return found
+
     # --- the module ---
 
     @property
--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -106,6 +106,26 @@
         """The address at which the call server listens."""
         return self._entry.address
 
+    @property
+    def name(self) -> str:
+        """Its name in the list."""
+        return self._entry.server
+
+    @property
+    def started(self) -> datetime | None:
+        """When its process was started, where the list says so."""
+        return self._entry.started
+
+    def add_calls(self, names: Iterable[str]) -> None:
+        """Take over established calls that were sent under another name at this address."""
+        for name in names:
+            self.established_calls.add(name, None)
+
+    def remove_calls(self, names: Iterable[str]) -> None:
+        """Forget established calls that another call server has."""
+        for name in names:
+            self.established_calls.pop(name)
+
     @property
     def connection_count(self) -> int:
         """How many sockets this call server uses, retired connections included."""
@@ -198,10 +218,18 @@
                 attempt.connection.withdraw(attempt)
             self._end_attempt(attempt, i.Outcome.NOT_SENT)
         if entry.removed:
+            self._release_all()
             self._switch.server_lost(entry.server, "it was removed from the list")
             self._finish_connections()
             self.loop.call_later(RETIRED_LINGER, self._stop)
 
+    def _release_all(self) -> None:
+        """Release the established calls: another process may answer at the address and have some of them."""
+        for name in self.established_calls.names():
+            connection = self.established_calls.pop(name)
+            if connection is not None and connection.transport.connected:
+                connection.queue(_release(name, CUT))
+
     def _finish_connections(self) -> None:
         """The server was removed: end its attempts, and close its connections.
 
--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -31,8 +31,10 @@
 
     def servers_changed(self, entries: list[ListedServer]) -> None:
         """Update the actors; that of a server which left the list remains until its calls have ended."""
-        for entry in entries:
+        for entry in sorted(entries, key=lambda entry: entry.removed):  # additions first: one may succeed
             peer = self._peers.get(entry.server)
+            if peer is not None and entry.removed:
+                self._move_calls(peer, entry)
             if peer is not None:
                 peer.post(entry)
             elif not entry.removed:
@@ -43,6 +45,15 @@
             if entry.removed:
                 self._peers.pop(entry.server, None)
 
+    def _move_calls(self, peer: CallServer, entry: ListedServer) -> None:
+        """Move the calls of a removed server that another process at its address has to that one."""
+        for other in self._peers.values():
+            started = other.started
+            if other is not peer and other.address == entry.address and started is not None:
+                moved = self._switch.move_calls(entry.server, other.name, started)
+                peer.remove_calls(moved)
+                other.add_calls(moved)
+
     def probe_servers(self) -> None:
         """Probe all call servers with established calls."""
         for peer in self._peers.values():
--- a/reedmount/fronts/established_calls.py
+++ b/reedmount/fronts/established_calls.py
@@ -82,7 +82,11 @@
         """How many calls are established."""
         return len(self._calls)
 
-    def add(self, name: str, connection: ServerConnection) -> None:
+    def names(self) -> list[str]:
+        """The names of all calls."""
+        return list(self._calls)
+
+    def add(self, name: str, connection: ServerConnection | None) -> None:
         """Add a call, and start the periodic check if it does not run."""
         self._calls[name] = EstablishedCall(self._clock.now(), connection)
         if not self._check_scheduled:
--- /dev/null
+++ b/tests/test_server_replacement.py
@@ -0,0 +1,85 @@
+"""A new call server at the address of one that has gone, with set-ups sent to it under the old name."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import datetime
+
+import pytest
+
+from reedmount import interface as i
+from reedmount.core.ports import ListedServer
+from tests.scenario import HOST
+from tests.test_platform import ESTABLISH, ESTABLISH_OTHER, Platform
+
+
+class Replacement(Platform):
+    """``c1`` stands at the old process, ``t`` at the new one, which the list has not told yet."""
+
+    def __init__(self) -> None:
+        super().__init__("server")
+        self.play(ESTABLISH + "wait 1000\n server close reset\n wait 1000")
+        self.started = self.loop.clock.now()
+        self.play(ESTABLISH_OTHER + "wait 1000")
+
+    def entry(self, name: str, started: datetime | None = None) -> ListedServer:
+        return ListedServer(name, (HOST, self.peers["server"].port), 1, True, False, started)
+
+    def tell(self, *entries: ListedServer) -> None:
+        self.version += 1
+        self.switch.pool_changed(self.version, i.ListKind.CHANGES, list(entries))
+        self.settle()
+
+    def told(self) -> list[str]:
+        """What the server got, but connections that end."""
+        inbox, self.peers["server"].inbox = self.peers["server"].inbox, []
+        return [f"{message.method} {message.call_id}" for message in inbox if message.method != "CLOSED"]
+
+
+def removed(entry: ListedServer) -> ListedServer:
+    return replace(entry, serving=False, removed=True)
+
+
+@pytest.mark.parametrize("order", ["at once", "at once, the removal first", "the new one first"])
+def test_calls_at_the_new_process_go_on_when_the_list_removes_the_old_name(order: str) -> None:
+    """Their callers were told that they are over, and they stood at the new process with nobody there."""
+    stage = Replacement()
+    old, new = removed(stage.entry("server")), stage.entry("new", stage.started)
+    if order == "the new one first":
+        stage.tell(new)
+        stage.tell(old)
+    else:
+        stage.tell(*((old, new) if "removal first" in order else (new, old)))
+    stage.play("caller expect BYE c1 reason=Q.850;cause=41\n other expect nothing")
+    assert [text.split()[0] for text in stage.told()] == ["BYE"]  # of c1, in case the process still has it
+    stage.play("other send BYE t\n other expect 200 t\n server expect BYE t")
+    assert stage.switch.is_idle
+
+
+def test_the_new_process_releases_a_call_that_was_sent_under_the_old_name() -> None:
+    stage = Replacement()
+    stage.tell(removed(stage.entry("server")), stage.entry("new", stage.started))
+    stage.play("caller expect BYE c1")
+    stage.told()
+    stage.play("server send BYE t reason=Q.850;cause=16\n server expect 200 t\n other expect BYE t")
+
+
+@pytest.mark.parametrize("successor", [True, False])
+def test_calls_are_released_at_both_sides_where_nothing_tells_whose_they_are(successor: bool) -> None:
+    """Without the start of the new process, or before the list tells of it."""
+    stage = Replacement()
+    stage.tell(removed(stage.entry("server")), *([stage.entry("new")] if successor else []))
+    stage.play("caller expect BYE c1\n other expect BYE t reason=Q.850;cause=41")
+    assert {text.split()[0] for text in stage.told()} == {"BYE"} and stage.switch.is_idle
+
+
+def test_no_set_up_goes_to_the_address_under_the_old_name_once_the_new_one_is_told() -> None:
+    """The module went on choosing the old server, and its set-ups reached the new one."""
+    stage = Replacement()
+    stage.play("wait 14000")  # until it is not cold any more
+    stage.tell(stage.entry("new", stage.started))
+    stage.play("caller expect BYE c1")
+    stage.told()
+    stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
+    (call,) = [call for call in stage.switch._by_number.values() if not call.is_established]
+    assert call.server == "new"
