Keep a connection whose received messages wait for their turn

Found by reading the change, not seen in a run. Change: such a connection is in use and unfinished, and does not expire. Measured: the new test failed before and passes.

--- a/reedmount/fronts/client_connection.py
+++ b/reedmount/fronts/client_connection.py
@@ -212,9 +212,16 @@
             self.partial_since = self._callers.loop.clock.now()
         return False
 
+    @property
+    def _waits_for_turn(self) -> bool:
+        """Whether messages that were received are still to be handled."""
+        return self._read in self._callers.loop.readers
+
     def is_expired(self, now: datetime) -> bool:
         """Whether it may be closed: silent, stuck in a message, never answered, or idle."""
         age, silence = now - self.connection.opened_at, now - self.connection.last_received_at
+        if self._waits_for_turn:
+            return False
         if not self.received_message:
             return age > FIRST_MESSAGE_TIMEOUT
         if self.open:
@@ -230,7 +237,7 @@
     def priority(self, now: datetime) -> tuple[RetentionPriority, datetime]:
         """Its priority when connections are evicted; among equals, the most recently active is kept."""
         received_at = self.connection.last_received_at
-        if self.open or self.established:
+        if self.open or self.established or self._waits_for_turn:
             return RetentionPriority.IN_USE, received_at
         if len(self.connection.incoming) or self.partial_since is not None:
             return (
@@ -269,6 +276,8 @@
         """Whether a message has partly arrived, or an answer is not yet written to the socket."""
         if self.connection.ended:
             return False
+        if self._waits_for_turn:
+            return True
         coming = self.partial_since is not None and now - self.connection.last_received_at <= STALL_TIMEOUT
         return coming or not self.connection.idle
 
--- a/reedmount/net/read_scheduler.py
+++ b/reedmount/net/read_scheduler.py
@@ -21,6 +21,10 @@
         self._waiting: dict[Reader, None] = {}
         self._spent = ZERO  # in this turn of the loop
 
+    def __contains__(self, reader: Reader) -> bool:
+        """Whether a reader waits to be called."""
+        return reader in self._waiting
+
     @property
     def waiting(self) -> bool:
         """Whether a reader is to be called in the next turn."""
--- a/tests/test_clients_that_leave.py
+++ b/tests/test_clients_that_leave.py
@@ -9,7 +9,7 @@
 
 from reedmount.core.clock import ZERO
 from reedmount.fronts import platform
-from reedmount.fronts.client_connection import UNPROVEN_BATCH
+from reedmount.fronts.client_connection import UNPROVEN_BATCH, RetentionPriority
 from reedmount.net import read_scheduler
 from reedmount.sip.endpoint import MESSAGES_PER_TURN
 from tests.scenario import Peer, Stage
@@ -99,6 +99,19 @@
     assert len(stage.peers["caller"].inbox) == len(stage.peers["other"].inbox) == 2 * UNPROVEN_BATCH
 
 
+def test_a_connection_whose_messages_wait_for_their_turn_is_kept() -> None:
+    """It counted as silent or stalled, though complete requests of it had been received."""
+    stage = Platform("server")
+    write_in_one_piece(stage, stage.peers["caller"], 3 * UNPROVEN_BATCH)
+    (client,) = stage.callers._clients
+    later = stage.loop.clock.now() + timedelta(minutes=1)
+    assert not client.is_expired(later) and client.has_unfinished(later)
+    assert client.priority(later)[0] is RetentionPriority.IN_USE
+    stage.settle()
+    assert client.is_expired(later) and not client.has_unfinished(later)
+    assert client.priority(later)[0] is RetentionPriority.IDLE
+
+
 @pytest.mark.parametrize("close", ["close", "close reset"])
 @pytest.mark.parametrize("wait", [0, 50, 1000])
 def test_an_id_that_comes_again_after_its_client_left_does_not_run_twice(close: str, wait: int) -> None:
