Log what a list says of each server, connections that come up, and replaced processes

The excerpts don't show which connection a call was answered on, when that connection came up, or what the list said of the new process; so it can't be told why a call counted as one of the new process.

No behaviour is changed.

--- a/reedmount/core/clock.py
+++ b/reedmount/core/clock.py
@@ -49,3 +49,8 @@
 def whole_millis(length: timedelta) -> int:
     """A span in milliseconds for the wire, rounded up: a shorter wait than the real one must not be sent."""
     return -(-length // timedelta(milliseconds=1))
+
+
+def stamp(instant: datetime | None) -> str:
+    """An instant in seconds of Unix time for the event log, ``-`` where it is not known."""
+    return "-" if instant is None else f"{(instant - EPOCH).total_seconds():.3f}"
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -10,7 +10,7 @@
 from reedmount.control import Controller
 from reedmount.core.actors import Actor, Scheduler
 from reedmount.core.checks import COUNTERS, invariant, log
-from reedmount.core.clock import ZERO, Clock, micros, span, span_micros, whole_millis
+from reedmount.core.clock import ZERO, Clock, micros, span, span_micros, stamp, whole_millis
 from reedmount.core.lifecycle import Lifecycle, Need
 from reedmount.core.ports import (
     CUT,
@@ -350,7 +350,9 @@
         for call in self._by_number.values():
             sent_since = call.sent_at is not None and call.sent_at >= since
             if call.is_established and call.server == server and sent_since:
-                self._trace("call.moved", call=call.offer.name, server=successor, before=server)
+                COUNTERS.add("calls.moved")
+                self._trace("call.moved", call=call.offer.name, server=successor, before=server,
+                            sent=stamp(call.sent_at))  # fmt: skip
                 call.server = successor
                 moved.append(call.offer.name)
         return moved
@@ -392,6 +394,9 @@
         self._trace("list.changed", version=version, kind=kind.value, servers=len(entries),
                     leaving=sum(not entry.serving for entry in entries))  # fmt: skip
         entries = [*entries, *self._replaced(entries)]
+        for entry in entries:
+            self._trace("list.server", server=entry.server, address=f"{entry.address[0]}:{entry.address[1]}",
+                        state=_state(entry).value, started=stamp(entry.started))  # fmt: skip
         self._server_side.servers_changed(entries)
         listed = tuple(
             i.ServerEntry(
--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -10,7 +10,7 @@
 from reedmount import interface as i
 from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS, log
-from reedmount.core.clock import ZERO, whole_millis
+from reedmount.core.clock import ZERO, stamp, whole_millis
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.established_calls import EstablishedCalls
@@ -210,6 +210,9 @@
         previous, self._entry = self._entry, entry
         if entry.started is not None and (previous.started is None or entry.started > previous.started):
             # The process restarted under the same name: calls established at the old one are lost.
+            COUNTERS.add("server.restarted")
+            self.loop.trace("server.restarted", server=entry.server, started=stamp(entry.started),
+                            before=stamp(previous.started), standing=len(self.established_calls))  # fmt: skip
             self._switch.server_lost(entry.server, "its process was restarted", entry.started)
         if entry.serving:
             return
@@ -450,6 +453,11 @@
         return connection
 
     def _on_connected(self, connection: ServerConnection) -> None:
+        if not connection.announced:
+            connection.announced = True
+            self.loop.trace("server.connected", server=self._entry.server, lane=connection.number,
+                            after_ms=whole_millis(connection.transport.opened_at - connection.dialled_at),
+                            standing=len(self.established_calls))  # fmt: skip
         self.established_calls.connection_opened(connection)
         if (
             self._releases_at_risk_since is not None
--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -6,6 +6,7 @@
 
 from reedmount import interface as i
 from reedmount.core.checks import COUNTERS
+from reedmount.core.clock import stamp
 from reedmount.core.ports import CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.call_server import MAX_CONNECTIONS_PER_SERVER, CallServer
@@ -50,9 +51,14 @@
         for other in self._peers.values():
             started = other.started
             if other is not peer and other.address == entry.address and started is not None:
+                standing = len(peer.established_calls)
                 moved = self._switch.move_calls(entry.server, other.name, started)
                 peer.remove_calls(moved)
                 other.add_calls(moved)
+                COUNTERS.add("server.replaced")
+                self._loop.trace("server.replaced", server=entry.server, successor=other.name,
+                                 started=stamp(started), moved=len(moved),
+                                 ended=standing - len(moved))  # fmt: skip
 
     def probe_servers(self) -> None:
         """Probe all call servers with established calls."""
--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -8,6 +8,7 @@
 from reedmount import interface as i
 from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS, log
+from reedmount.core.clock import stamp
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
 from reedmount.fronts.retry_timer import MAX_RETRY_DELAY, RetryTimer
 from reedmount.fronts.sip import SipFront
@@ -94,9 +95,15 @@
 
     def _end_calls_before(self, instant: datetime) -> None:
         """End what was sent to a process that has ended, towards both sides in case it still runs."""
-        for leg in [leg for leg in self.legs.values() if leg.sent_before(instant)]:
+        attempts = [leg for leg in self.legs.values() if leg.sent_before(instant)]
+        calls = [leg for leg in self.established_legs.values() if leg.sent_before(instant)]
+        COUNTERS.add("server.process_ended")
+        self.loop.trace("server.process_ended", server=self.entry.server, before=stamp(instant),
+                        attempts=len(attempts), ended=len(calls),
+                        kept=len(self.established_legs) - len(calls))  # fmt: skip
+        for leg in attempts:
             leg.abort(i.Outcome.RESET)
-        for leg in [leg for leg in self.established_legs.values() if leg.sent_before(instant)]:
+        for leg in calls:
             leg.release(CUT)
             self.front.switch.call_lost(leg.setup.name, self.entry.server, "its process has ended")
 
@@ -115,6 +122,7 @@
 
     def _connect(self) -> TcpHop:
         if self._hop is None or self._hop.connection.ended:
+            self.loop.trace("server.dial", server=self.entry.server, standing=len(self.established_legs))
             hop = TcpHop.dial(self.front.endpoint, self.entry.address, self.front.settings.connect_wait)
             hop.on_connected, hop.on_lost = self._on_connected, self.post
             self._hop = hop
@@ -135,6 +143,8 @@
     def _on_connection_lost(self, reason: EndReason) -> None:
         """End the waiting attempts, which were never sent, and find out whether the process still runs."""
         log(f"{self.entry.server}: connection {reason.value}", f"sip.connection {reason.value}")
+        self.loop.trace("server.connection_ended", server=self.entry.server, how=f'"{reason.value}"',
+                        open=len(self.legs), standing=len(self.established_legs))  # fmt: skip
         if self._hop is None or not self._hop.connection.ended:
             return
         if self.loop.clock.now() - self._hop.connection.opened_at >= MAX_RETRY_DELAY:
