--- a/standins/soak/callserver.py
+++ b/standins/soak/callserver.py
@@ -167,6 +167,7 @@
     hold_s: tuple[float, float] = (0.4, 6.0)
     work_s: tuple[float, float] = (0.005, 0.08)
     at_ports: dict[str, int] = field(default_factory=dict)  # ports of a server that it replaces
+    born_ms: int = 0  # Unix time at which its process was started; 0: before the run
     state: State = State.SERVING
     busy: bool = False  # a fault is in progress, or discovery is about to report that it leaves
 
--- a/standins/soak/cases.py
+++ b/standins/soak/cases.py
@@ -7,10 +7,12 @@
 
 from standins.soak.board import BoardMode
 from standins.soak.plan import Plan, Step
-from standins.soak.run import Run
+from standins.soak.run import Run, unix_ms
 
 CASES: dict[str, Callable[[], Plan]] = {}
 DISCOVERY_DOWN_S = 9.5  # longer than the limit for notifying callers
+DISCOVERY_DELAY_S = 0.7
+SUCCESSOR_STARTUP_S = 0.5  # from a process's start until it listens
 
 
 def case(build: Callable[[], Plan]) -> Callable[[], Plan]:
@@ -55,3 +57,21 @@
 
     steps = [Step(2.0, "two servers hang", hang), Step(2.5, "restarts", restart)]
     return Plan(steps, calls_per_s=100.0, longest_ms=1200)
+
+
+@case
+def successor_starts_before_its_predecessor_ends() -> Plan:
+    """Three call servers in turn are replaced at their addresses by processes that were started while they
+    still answered, and discovery tells of both in one event later (incident 414a86)."""
+
+    async def replace(run: Run, _: random.Random) -> None:
+        for old in run.servers[:3]:
+            old.busy = True
+            born_ms = unix_ms()
+            await run.sleep(SUCCESSOR_STARTUP_S)
+            old.die()
+            run.reuse_addresses_of(old, born_ms)
+            await run.sleep(DISCOVERY_DELAY_S)
+            run.publish_new(removed=[old])
+
+    return Plan([Step(2.5, "three servers are replaced at their addresses", replace)], calls_per_s=40.0)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -8,6 +8,7 @@
 import signal
 import time
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -41,6 +42,11 @@
     story: list[str]
 
 
+def unix_ms() -> int:
+    """The Unix time in milliseconds, as discovery tells when a process was started."""
+    return int(time.time() * 1000)
+
+
 def settings_for(classes: list[CallClass], nodes: int) -> dict[str, Any]:
     """The settings object of the platform's configuration file."""
     described = [
@@ -144,43 +150,52 @@
 
     def add_servers(self, count: int) -> None:
         """Start new call servers and publish them."""
+        born_ms = unix_ms() if self.servers else 0
         for _ in range(count):
-            self._new_server({})
+            self._new_server({}, born_ms)
         self.publish_new()
 
-    def reuse_addresses_of(self, removed: CallServer) -> None:
-        """Start a call server at the addresses of a removed one, without publishing it."""
+    def reuse_addresses_of(self, removed: CallServer, born_ms: int = 0) -> None:
+        """Start a call server at the addresses of a removed one, without publishing it.
+
+        ``born_ms`` is the Unix time at which its process was started, if that was before it listens.
+        """
         removed.release_addresses()
-        fresh = self._new_server(removed.ports())
+        fresh = self._new_server(removed.ports(), born_ms or unix_ms())
         self.history.record_event(f"{fresh.name} has the addresses of {removed.name}")
 
-    def _new_server(self, ports: dict[str, int]) -> CallServer:
+    def _new_server(self, ports: dict[str, int], born_ms: int) -> CallServer:
         number = len(self.servers) + 1
         rng = self._fork(f"server {number}")
-        fresh = CallServer(f"s{number}", number, self._names, self.history, rng, at_ports=ports)
+        fresh = CallServer(
+            f"s{number}", number, self._names, self.history, rng, at_ports=ports, born_ms=born_ms
+        )
         fresh.busy = True  # until discovery names it
         self.servers.append(fresh)
         self._unpublished.append(fresh)
         return fresh
 
-    def publish_new(self) -> None:
-        """Publish the call servers that discovery has not named yet."""
+    def publish_new(self, removed: Sequence[CallServer] = ()) -> None:
+        """Publish the call servers that discovery has not named yet; the same event removes others."""
         fresh, self._unpublished = self._unpublished, []
-        born_ms = 0 if len(self.servers) == len(fresh) else int(time.time() * 1000)
         for server in fresh:
             server.busy = False
-        if fresh:
-            self.board.publish(*(self._host(server, "SERVING", born_ms) for server in fresh))
+        if fresh or removed:
+            self.board.publish(
+                *(self._host(server, "DELETED") for server in removed),
+                *(self._host(server, "SERVING") for server in fresh),
+            )
 
     def publish_state(self, servers: list[CallServer], state: str) -> None:
         """Publish that servers drain or are deleted."""
         if servers:
-            self.board.publish(*(self._host(server, state, 0) for server in servers))
+            self.board.publish(*(self._host(server, state) for server in servers))
 
     @staticmethod
-    def _host(server: CallServer, state: str, born_ms: int) -> dict[str, Any]:
+    def _host(server: CallServer, state: str) -> dict[str, Any]:
         return {"host": server.name, "dial": server.addresses, "site": "here", "class": "std",
-                "block": server.number, "health": state, "share": 4, "born_ms": born_ms}  # fmt: skip
+                "block": server.number, "health": state, "share": 4,
+                "born_ms": server.born_ms if state == "SERVING" else 0}  # fmt: skip
 
     def some_servers(self, rng: random.Random, max_count: int = 3) -> list[CallServer]:
         """Choose serving call servers that are not part of another fault; at least one is left out."""
