Keep a moved call only where a connection proves that the new process has it

Cause: a call counted as one of the new process if it was sent after that one's start (Switch.move_calls). The old process may answer on its connections until it ends, so such calls were moved to a process that did not have them, and neither side ended them. Class: a clock reading taken for proof of which process answered.

Set-ups open there are cancelled instead of closing the connection. What is left ends at both sides, also where only the successor has a connection.

--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 
@@ -341,21 +341,15 @@
             if call.is_established and call.server == server and sent_before:
                 self._end_lost(call, reason)
 
-    def move_calls(self, server: str, successor: str, since: datetime) -> list[str]:
-        """Move the established calls that were sent to a server since another process has its address.
-
-        Returns their names. The others were at the process that has ended.
-        """
-        moved = []
-        for call in self._by_number.values():
-            sent_since = call.sent_at is not None and call.sent_at >= since
-            if call.is_established and call.server == server and sent_since:
+    def move_calls(self, names: Iterable[str], successor: str) -> None:
+        """Move established calls to the server whose process has them."""
+        for name in names:
+            call = self._by_name.get(name)
+            if call is not None and call.is_established:
                 COUNTERS.add("calls.moved")
-                self._trace("call.moved", call=call.offer.name, server=successor, before=server,
+                self._trace("call.moved", call=name, server=successor, before=call.server,
                             sent=stamp(call.sent_at))  # fmt: skip
                 call.server = successor
-                moved.append(call.offer.name)
-        return moved
 
     def call_lost(self, name: str, server: str, reason: str) -> None:
         """End a call established at a server from which no release can be expected any more."""
--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -11,6 +11,7 @@
 from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import ZERO, stamp, whole_millis
+from reedmount.core.liveness import CONNECTION_PROBE_TIMEOUT
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.established_calls import EstablishedCalls
@@ -24,6 +25,7 @@
     Outgoing,
     ServerConnection,
 )
+from reedmount.fronts.takeover import Takeover
 from reedmount.fronts.thin_protocol import (
     CAUSES,
     ID,
@@ -48,6 +50,7 @@
 MAX_REPLACEMENT_ATTEMPTS = 8  # dials to replace a broken connection: some 5 s in all
 MAX_REASSIGNMENTS = 2  # of an unsent set-up to another connection
 MAX_CONNECTIONS_PER_SERVER = 8
+REPLACED = "another process took over its server's address"
 MAX_REMEMBERED_CALLS = 1024  # abandoned attempts, and releases that wait, for each server
 START_LINES = (b"SIP/2.0 ", b"INVITE ", b"ACK ", b"BYE ", b"CANCEL ", b"OPTIONS ", b"NOTIFY ")
 
@@ -96,6 +99,8 @@
         self.established_calls = EstablishedCalls(self)
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
         self._reconnect_timer = RetryTimer(loop, self._dial_if_unconnected)
+        self._takeover: Takeover | None = None  # by another process, which has to prove which calls it has
+        self._successor: CallServer | None = None  # the call server of that process
         # When a connection broke on which a release may have been in transit.
         self._releases_at_risk_since: datetime | None = None
         self._replacement_timer, self._replacement_attempts = RetryTimer(loop, self._retry_replacement), 0
@@ -116,15 +121,57 @@
         """When its process was started, where the list says so."""
         return self._entry.started
 
-    def add_calls(self, names: Iterable[str]) -> None:
-        """Take over established calls that were sent under another name at this address."""
-        for name in names:
-            self.established_calls.add(name, None)
+    def hand_over_calls(self, successor: CallServer) -> None:
+        """Give the established calls that the new process at this address has to its call server.
 
-    def remove_calls(self, names: Iterable[str]) -> None:
-        """Forget established calls that another call server has."""
-        for name in names:
-            self.established_calls.pop(name)
+        Those that it may have are moved at once, and end if no connection proves it. The others end as this
+        call server is removed.
+        """
+        standing = len(self.established_calls)
+        if successor.started is not None:
+            self._begin_takeover(successor.started, successor)
+        moved = standing - len(self.established_calls)
+        COUNTERS.add("server.replaced")
+        self.loop.trace("server.replaced", server=self.name, successor=successor.name, moved=moved,
+                        ended=standing - moved, started=stamp(successor.started))  # fmt: skip
+        if not self.open_connections():
+            for name in self.established_calls.names():
+                successor.post(Release(name, CUT))
+
+    def _begin_takeover(self, started: datetime, successor: CallServer) -> None:
+        """Probe the connections that may reach a new process, and move the calls that these can prove."""
+        connections = [
+            connection
+            for connection in self.open_connections()
+            if connection.dialled_at >= started and connection.may_prove_process
+        ]
+        self._takeover = Takeover(connections, self.established_calls.dial_times())
+        self._successor = successor
+        moved = list(self._takeover.unproven)
+        self._switch.move_calls(moved, successor.name)
+        self.established_calls.move_to(successor.established_calls, moved)
+        for connection in connections:
+            self.send_probe(connection)
+        self.loop.call_later(CONNECTION_PROBE_TIMEOUT, self._end_takeover)
+
+    def _end_takeover(self) -> None:
+        """End the calls that were moved and that no connection has proven in time."""
+        if self._takeover is None:
+            return
+        takeover, self._takeover = self._takeover, None
+        for connection in self._retired:
+            if connection in takeover.connections:
+                connection.transport.finish_writing()
+        self._end_unproven(takeover.expire())
+
+    def _takeover_answered(self, takeover: Takeover, connection: ServerConnection) -> None:
+        if takeover.answered(connection) and self._entry.removed:
+            connection.transport.finish_writing()
+
+    def _end_unproven(self, names: list[str]) -> None:
+        if names and self._successor is not None:
+            COUNTERS.add("calls.unproven", len(names))
+            self._successor.established_calls.drop(names, REPLACED)
 
     @property
     def connection_count(self) -> int:
@@ -244,7 +291,11 @@
         self._pending_releases.clear()
         for connection in connections:
             connection.outbox.clear()
-            if connection.attempts or not connection.transport.idle:
+            if self._takeover is not None and connection in self._takeover.connections:
+                for attempt in list(connection.attempts.values()):
+                    self._cancel(attempt, i.Outcome.RESET)
+                self._retired.append(connection)
+            elif connection.attempts or not connection.transport.idle:
                 connection.transport.close()
             else:
                 connection.transport.finish_writing()
@@ -483,6 +534,8 @@
             self._retired.remove(connection)
         else:
             return
+        if self._takeover is not None:
+            self._end_unproven(self._takeover.ended(connection))
         unreachable = how in (EndReason.REFUSED, EndReason.NEVER_UP)
         now = self.loop.clock.now()
         short_lived = now - connection.transport.opened_at < MIN_LIFETIME
@@ -615,6 +668,8 @@
         if not message.is_request:
             if message.cseq[1] == "BYE":
                 connection.releases.pop(message.call_id, None)
+            if message.cseq[1] == "OPTIONS" and self._takeover is not None:
+                self._takeover_answered(self._takeover, connection)
             if message.cseq[1] == "INVITE" and message.status >= 200:
                 self._handle_answer(connection, message)
             return
--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -6,7 +6,6 @@
 
 from reedmount import interface as i
 from reedmount.core.checks import COUNTERS
-from reedmount.core.clock import stamp
 from reedmount.core.ports import CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import Switch
 from reedmount.fronts.call_server import MAX_CONNECTIONS_PER_SERVER, CallServer
@@ -49,16 +48,8 @@
     def _move_calls(self, peer: CallServer, entry: ListedServer) -> None:
         """Move the calls of a removed server that another process at its address has to that one."""
         for other in self._peers.values():
-            started = other.started
-            if other is not peer and other.address == entry.address and started is not None:
-                standing = len(peer.established_calls)
-                moved = self._switch.move_calls(entry.server, other.name, started)
-                peer.remove_calls(moved)
-                other.add_calls(moved)
-                COUNTERS.add("server.replaced")
-                self._loop.trace("server.replaced", server=entry.server, successor=other.name,
-                                 started=stamp(started), moved=len(moved),
-                                 ended=standing - len(moved))  # fmt: skip
+            if other is not peer and other.address == entry.address:
+                peer.hand_over_calls(other)
 
     def probe_servers(self) -> None:
         """Probe all call servers with established calls."""
--- a/reedmount/fronts/established_calls.py
+++ b/reedmount/fronts/established_calls.py
@@ -33,6 +33,7 @@
     """One established call."""
 
     established_at: datetime
+    dialled_at: datetime  # when the connection on which it was answered was dialled
     connection: ServerConnection | None  # on which it was answered, or another since that one ended
     lost_at: datetime | None = None  # when it counts as lost, after its connection fell silent
 
@@ -86,9 +87,25 @@
         """The names of all calls."""
         return list(self._calls)
 
-    def add(self, name: str, connection: ServerConnection | None) -> None:
-        """Add a call, and start the periodic check if it does not run."""
-        self._calls[name] = EstablishedCall(self._clock.now(), connection)
+    def dial_times(self) -> dict[str, datetime]:
+        """When the connection on which each call was answered was dialled."""
+        return {name: call.dialled_at for name, call in self._calls.items()}
+
+    def add(self, name: str, connection: ServerConnection) -> None:
+        """Add a call that was answered on a connection."""
+        self._calls[name] = EstablishedCall(self._clock.now(), connection.dialled_at, connection)
+        self._schedule_check()
+
+    def move_to(self, other: EstablishedCalls, names: Iterable[str]) -> None:
+        """Move calls to another call server, and attach them to its first connection that is up."""
+        connection = next(iter(other._call_server.open_connections()), None)
+        for name in names:
+            call = other._calls[name] = self._calls.pop(name)
+            call.connection, call.lost_at = connection, None
+        other._schedule_check()
+
+    def _schedule_check(self) -> None:
+        """Start the periodic check if it does not run."""
         if not self._check_scheduled:
             self._check_scheduled, self._checked_at = True, self._clock.now()
             self._call_server.loop.call_later(CHECK_INTERVAL, self._check)
@@ -168,10 +185,11 @@
 
     def drop_all(self, reason: str) -> None:
         """Count all calls as lost."""
-        self._drop(list(self._calls), reason)
+        self.drop(list(self._calls), reason)
 
-    def _drop(self, names: Iterable[str], reason: str) -> None:
-        lost = [(name, self.pop(name)) for name in names]
+    def drop(self, names: Iterable[str], reason: str) -> None:
+        """Count calls as lost, those that are still established."""
+        lost = [(name, self.pop(name)) for name in names if name in self._calls]
         if lost:
             self._call_server.calls_lost(lost, reason)
 
@@ -195,10 +213,10 @@
             return
         calls = self._calls.items()
         lost = [name for name, call in calls if call.lost_at is not None and call.lost_at <= now]
-        self._drop(lost, CONNECTION_SILENT)
+        self.drop(lost, CONNECTION_SILENT)
         if self._contradicted_at is not None and now - self._contradicted_at >= CONTRADICTION_PERIOD:
             self._contradicted_at = None
-            self._drop(self._calls_due_in_reports(), TOO_FEW_LINES)
+            self.drop(self._calls_due_in_reports(), TOO_FEW_LINES)
 
     def _probe_connections(self, now: datetime) -> None:
         connections = self._call_server.open_connections()
--- a/reedmount/fronts/server_connection.py
+++ b/reedmount/fronts/server_connection.py
@@ -139,6 +139,11 @@
         """Whether it is up, with no attempt open and nothing queued."""
         return self.transport.connected and not self.attempts and not self.outbox
 
+    @property
+    def may_prove_process(self) -> bool:
+        """Whether the next answer to a probe can only be to one that is sent now."""
+        return self.transport.idle and not self.outbox and self.liveness.first_probe_at is None
+
     @property
     def stale(self) -> bool:
         """Whether the call server may close it as idle before a message sent now arrives and is read."""
