--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -146,3 +146,18 @@
     assert [text.split()[0] for text in stage.told()].count("CANCEL") == 1
     stage.play("wait 1000\n other expect nothing")
     assert [call.server for call in stage.switch._by_number.values() if call.is_established] == ["new"]
+
+
+def test_a_call_that_the_old_process_answered_after_the_start_of_its_restart_is_ended() -> None:
+    """It was taken for one of the new process, as it was sent after that one's start."""
+    stage = Platform("server")
+    stage.play("wait 1000")
+    started = stage.loop.clock.now()
+    stage.play("wait 100\n" + ESTABLISH + "server close reset\n wait 100\n" + ESTABLISH_OTHER + "wait 700")
+    server = stage.peers["server"]
+    stage.switch.pool_changed(
+        9, i.ListKind.CHANGES, [ListedServer("server", (HOST, server.port), 1, True, False, started)]
+    )
+    stage.play("caller expect BYE c1 reason=Q.850;cause=41\n caller send 200 BYE")
+    stage.play("server expect BYE c1\n other expect nothing\n wait 1000\n other expect nothing")
+    assert stage.switch.call_counts == {"open": 0, "standing": 1}
