End the calls of the old process when a call server restarts under its name

What callers saw (in a test): a call that the old process had answered after the new one's start is left standing. Switch.server_lost has no instant any more.

--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -334,11 +334,10 @@
         self._end_established(call, i.Outcome.COMPLETED if cause == NORMAL else i.Outcome.RESET, report)
         return True
 
-    def server_lost(self, server: str, reason: str, before: datetime | None = None) -> None:
-        """End the calls at a server whose process has ended, or those sent there before a new one started."""
+    def server_lost(self, server: str, reason: str) -> None:
+        """End the calls at a server whose process has ended."""
         for call in list(self._by_number.values()):
-            sent_before = before is None or call.sent_at is None or call.sent_at < before
-            if call.is_established and call.server == server and sent_before:
+            if call.is_established and call.server == server:
                 self._end_lost(call, reason)
 
     def move_calls(self, names: Iterable[str], successor: str) -> None:
--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -50,6 +50,7 @@
 MAX_REPLACEMENT_ATTEMPTS = 8  # dials to replace a broken connection: some 5 s in all
 MAX_REASSIGNMENTS = 2  # of an unsent set-up to another connection
 MAX_CONNECTIONS_PER_SERVER = 8
+RESTARTED = "its process was restarted"
 REPLACED = "another process took over its server's address"
 MAX_REMEMBERED_CALLS = 1024  # abandoned attempts, and releases that wait, for each server
 START_LINES = (b"SIP/2.0 ", b"INVITE ", b"ACK ", b"BYE ", b"CANCEL ", b"OPTIONS ", b"NOTIFY ")
@@ -138,29 +139,34 @@
             for name in self.established_calls.names():
                 successor.post(Release(name, CUT))
 
-    def _begin_takeover(self, started: datetime, successor: CallServer) -> None:
-        """Probe the connections that may reach a new process, and move the calls that these can prove."""
+    def _begin_takeover(self, started: datetime, successor: CallServer) -> Takeover:
+        """Probe the connections that may reach a new process, and move the calls that these can prove.
+
+        The successor is this call server itself where its process was restarted under the same name.
+        """
         connections = [
             connection
             for connection in self.open_connections()
             if connection.dialled_at >= started and connection.may_prove_process
         ]
-        self._takeover = Takeover(connections, self.established_calls.dial_times())
-        self._successor = successor
-        moved = list(self._takeover.unproven)
-        self._switch.move_calls(moved, successor.name)
-        self.established_calls.move_to(successor.established_calls, moved)
+        takeover = Takeover(connections, self.established_calls.dial_times())
+        self._takeover, self._successor = takeover, successor
+        if successor is not self:
+            moved = list(takeover.unproven)
+            self._switch.move_calls(moved, successor.name)
+            self.established_calls.move_to(successor.established_calls, moved)
         for connection in connections:
             self.send_probe(connection)
-        self.loop.call_later(CONNECTION_PROBE_TIMEOUT, self._end_takeover)
+        self.loop.call_later(CONNECTION_PROBE_TIMEOUT, lambda: self._end_takeover(takeover))
+        return takeover
 
-    def _end_takeover(self) -> None:
-        """End the calls that were moved and that no connection has proven in time."""
-        if self._takeover is None:
+    def _end_takeover(self, takeover: Takeover) -> None:
+        """End the calls that no connection has proven in time."""
+        if self._takeover is not takeover:
             return
-        takeover, self._takeover = self._takeover, None
+        self._takeover = None
         for connection in self._retired:
-            if connection in takeover.connections:
+            if connection in takeover.connections and self._entry.removed:
                 connection.transport.finish_writing()
         self._end_unproven(takeover.expire())
 
@@ -256,11 +262,7 @@
     def _update_entry(self, entry: ListedServer) -> None:
         previous, self._entry = self._entry, entry
         if entry.started is not None and (previous.started is None or entry.started > previous.started):
-            # The process restarted under the same name: calls established at the old one are lost.
-            COUNTERS.add("server.restarted")
-            self.loop.trace("server.restarted", server=entry.server, started=stamp(entry.started),
-                            before=stamp(previous.started), standing=len(self.established_calls))  # fmt: skip
-            self._switch.server_lost(entry.server, "its process was restarted", entry.started)
+            self._process_restarted(entry.started, previous.started)
         if entry.serving:
             return
         for attempt in [attempt for attempt in self._attempts.values() if attempt.sent_at is None]:
@@ -273,6 +275,15 @@
             self._finish_connections()
             self.loop.call_later(RETIRED_LINGER, self._stop)
 
+    def _process_restarted(self, started: datetime, previous: datetime | None) -> None:
+        """End the calls that the process before its restart had."""
+        unproven = self._begin_takeover(started, self).unproven
+        ended = [name for name in self.established_calls.names() if name not in unproven]
+        COUNTERS.add("server.restarted")
+        self.loop.trace("server.restarted", server=self.name, started=stamp(started), before=stamp(previous),
+                        ended=len(ended), kept=len(unproven))  # fmt: skip
+        self.established_calls.drop(ended, RESTARTED)
+
     def _release_all(self) -> None:
         """Release the established calls: another process may answer at the address and have some of them."""
         for name in self.established_calls.names():
