Test that set-ups after a restart leave the connections of the old process (known red)

Cause: a call server that is listed as restarted keeps the connections to its old process in use. Change: a failing test, listed. Result: expected failure.

--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -161,3 +161,17 @@
     stage.play("caller expect BYE c1 reason=Q.850;cause=41\n caller send 200 BYE")
     stage.play("server expect BYE c1\n other expect nothing\n wait 1000\n other expect nothing")
     assert stage.switch.call_counts == {"open": 0, "standing": 1}
+
+
+def test_a_set_up_goes_to_the_restarted_process_and_not_on_the_old_one_s_silent_connection() -> None:
+    """The old machine had vanished: the set-up hung until its time was up."""
+    stage = Platform("server")
+    stage.play("wait 1000")
+    server = stage.peers["server"]
+    (old,) = server.rings
+    entry = ListedServer("server", (HOST, server.port), 1, True, False, stage.loop.clock.now())
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, [entry])
+    stage.play("wait 14000")  # until it is not cold any more
+    stage.play("other send INVITE t x-cos=small x-timer-ms=2000\n server expect INVITE t")
+    (setup,) = [message for message in server.requests if message.method == "INVITE"]
+    assert server.received_on[id(setup)] is not old
