Leave the connections of a call server's old process once the list tells of its restart

What callers saw (in a test): set-ups sent on the silent connection of a machine that had vanished hang until their time is up, though the new process at the address is listed. Cause: a restart under the same name changed the calls only; connections dialled before it stayed in use, and set-ups that were out there were waited for. Change: these connections are retired, what was sent there is cancelled and ends as reset, what was not goes on another one. The test also expects the end of the old connection now, which comes first.

--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from datetime import datetime, timedelta
 from typing import Protocol
 
@@ -11,10 +11,10 @@
 from reedmount.core.actors import Actor
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import ZERO, stamp, whole_millis
-from reedmount.core.liveness import CONNECTION_PROBE_TIMEOUT
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.established_calls import EstablishedCalls
+from reedmount.fronts.replaced_process import ReplacedProcess
 from reedmount.fronts.retry_timer import RetryTimer
 from reedmount.fronts.server_connection import (
     Attempt,
@@ -25,7 +25,6 @@
     Outgoing,
     ServerConnection,
 )
-from reedmount.fronts.takeover import Takeover
 from reedmount.fronts.thin_protocol import (
     CAUSES,
     ID,
@@ -51,7 +50,6 @@
 MAX_REASSIGNMENTS = 2  # of an unsent set-up to another connection
 MAX_CONNECTIONS_PER_SERVER = 8
 RESTARTED = "its process was restarted"
-REPLACED = "another process took over its server's address"
 MAX_REMEMBERED_CALLS = 1024  # abandoned attempts, and releases that wait, for each server
 START_LINES = (b"SIP/2.0 ", b"INVITE ", b"ACK ", b"BYE ", b"CANCEL ", b"OPTIONS ", b"NOTIFY ")
 
@@ -100,8 +98,7 @@
         self.established_calls = EstablishedCalls(self)
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
         self._reconnect_timer = RetryTimer(loop, self._dial_if_unconnected)
-        self._takeover: Takeover | None = None  # by another process, which has to prove which calls it has
-        self._successor: CallServer | None = None  # the call server of that process
+        self._replaced = ReplacedProcess(self)
         # When a connection broke on which a release may have been in transit.
         self._releases_at_risk_since: datetime | None = None
         self._replacement_timer, self._replacement_attempts = RetryTimer(loop, self._retry_replacement), 0
@@ -128,56 +125,23 @@
         Those that it may have are moved at once, and end if no connection proves it. The others end as this
         call server is removed.
         """
-        standing = len(self.established_calls)
         if successor.started is not None:
-            self._begin_takeover(successor.started, successor)
-        moved = standing - len(self.established_calls)
+            moved = self._replaced.begin(successor.started)
+            self._switch.move_calls(moved, successor.name)
+            self._replaced.move_calls(moved, successor.established_calls)
+        ended = self.established_calls.names()
         COUNTERS.add("server.replaced")
-        self.loop.trace("server.replaced", server=self.name, successor=successor.name, moved=moved,
-                        ended=standing - moved, started=stamp(successor.started))  # fmt: skip
+        self.loop.trace("server.replaced", server=self.name, successor=successor.name, ended=len(ended),
+                        moved=len(successor.established_calls), started=stamp(successor.started))  # fmt: skip
         if not self.open_connections():
-            for name in self.established_calls.names():
+            for name in ended:
                 successor.post(Release(name, CUT))
 
-    def _begin_takeover(self, started: datetime, successor: CallServer) -> Takeover:
-        """Probe the connections that may reach a new process, and move the calls that these can prove.
-
-        The successor is this call server itself where its process was restarted under the same name.
-        """
-        connections = [
-            connection
-            for connection in self.open_connections()
-            if connection.dialled_at >= started and connection.may_prove_process
-        ]
-        takeover = Takeover(connections, self.established_calls.dial_times())
-        self._takeover, self._successor = takeover, successor
-        if successor is not self:
-            moved = list(takeover.unproven)
-            self._switch.move_calls(moved, successor.name)
-            self.established_calls.move_to(successor.established_calls, moved)
-        for connection in connections:
-            self.send_probe(connection)
-        self.loop.call_later(CONNECTION_PROBE_TIMEOUT, lambda: self._end_takeover(takeover))
-        return takeover
-
-    def _end_takeover(self, takeover: Takeover) -> None:
-        """End the calls that no connection has proven in time."""
-        if self._takeover is not takeover:
-            return
-        self._takeover = None
-        for connection in self._retired:
-            if connection in takeover.connections and self._entry.removed:
+    def takeover_finished(self, connections: Sequence[ServerConnection]) -> None:
+        """These connections are not needed any more as a proof of which calls the new process has."""
+        if self._entry.removed:
+            for connection in connections:
                 connection.transport.finish_writing()
-        self._end_unproven(takeover.expire())
-
-    def _takeover_answered(self, takeover: Takeover, connection: ServerConnection) -> None:
-        if takeover.answered(connection) and self._entry.removed:
-            connection.transport.finish_writing()
-
-    def _end_unproven(self, names: list[str]) -> None:
-        if names and self._successor is not None:
-            COUNTERS.add("calls.unproven", len(names))
-            self._successor.established_calls.drop(names, REPLACED)
 
     @property
     def connection_count(self) -> int:
@@ -277,12 +241,25 @@
 
     def _process_restarted(self, started: datetime, previous: datetime | None) -> None:
         """End the calls that the process before its restart had."""
-        unproven = self._begin_takeover(started, self).unproven
+        unproven = set(self._replaced.begin(started))
         ended = [name for name in self.established_calls.names() if name not in unproven]
         COUNTERS.add("server.restarted")
         self.loop.trace("server.restarted", server=self.name, started=stamp(started), before=stamp(previous),
                         ended=len(ended), kept=len(unproven))  # fmt: skip
         self.established_calls.drop(ended, RESTARTED)
+        for connection in [connection for connection in self._connections if connection.dialled_at < started]:
+            self._leave_old_process(connection)
+        self._dial_if_unconnected()
+
+    def _leave_old_process(self, connection: ServerConnection) -> None:
+        """Retire a connection to a process that has ended, and end its attempts; unsent ones go elsewhere."""
+        self._retire(connection, RESTARTED)
+        for attempt in list(connection.attempts.values()):
+            item = connection.withdraw(attempt)
+            if item is None:
+                self._cancel(attempt, i.Outcome.RESET)
+            else:
+                self._assign(item, attempt)
 
     def _release_all(self) -> None:
         """Release the established calls: another process may answer at the address and have some of them."""
@@ -302,7 +279,7 @@
         self._pending_releases.clear()
         for connection in connections:
             connection.outbox.clear()
-            if self._takeover is not None and connection in self._takeover.connections:
+            if self._replaced.awaits(connection):
                 for attempt in list(connection.attempts.values()):
                     self._cancel(attempt, i.Outcome.RESET)
                 self._retired.append(connection)
@@ -545,8 +522,7 @@
             self._retired.remove(connection)
         else:
             return
-        if self._takeover is not None:
-            self._end_unproven(self._takeover.ended(connection))
+        self._replaced.connection_ended(connection)
         unreachable = how in (EndReason.REFUSED, EndReason.NEVER_UP)
         now = self.loop.clock.now()
         short_lived = now - connection.transport.opened_at < MIN_LIFETIME
@@ -679,8 +655,8 @@
         if not message.is_request:
             if message.cseq[1] == "BYE":
                 connection.releases.pop(message.call_id, None)
-            if message.cseq[1] == "OPTIONS" and self._takeover is not None:
-                self._takeover_answered(self._takeover, connection)
+            if message.cseq[1] == "OPTIONS":
+                self._replaced.probe_answered(connection)
             if message.cseq[1] == "INVITE" and message.status >= 200:
                 self._handle_answer(connection, message)
             return
--- a/reedmount/fronts/takeover.py
+++ b/reedmount/fronts/takeover.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable, Mapping
 from datetime import datetime
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 
 class DialledConnection(Protocol):
@@ -20,10 +20,13 @@
         """When this side began to connect."""
 
 
-class Takeover:
+Connection = TypeVar("Connection", bound=DialledConnection)
+
+
+class Takeover(Generic[Connection]):
     """The calls that the new process may have, until a connection proves that it has them."""
 
-    def __init__(self, connections: Iterable[DialledConnection], calls: Mapping[str, datetime]) -> None:
+    def __init__(self, connections: Iterable[Connection], calls: Mapping[str, datetime]) -> None:
         """``connections`` are up and were dialled since the new process's start.
 
         ``calls`` gives for each call when the connection on which it was answered was dialled.
@@ -34,11 +37,11 @@
         }
 
     @property
-    def connections(self) -> list[DialledConnection]:
+    def connections(self) -> list[Connection]:
         """The connections that have neither answered nor ended."""
         return list(self._connections)
 
-    def answered(self, connection: DialledConnection) -> bool:
+    def answered(self, connection: Connection) -> bool:
         """A connection has answered its probe: its calls, and those of later ones, are proven.
 
         Returns whether it was awaited.
@@ -51,7 +54,7 @@
                 del self.unproven[name]
         return True
 
-    def ended(self, connection: DialledConnection) -> list[str]:
+    def ended(self, connection: Connection) -> list[str]:
         """A connection has ended: return the calls that no other one can prove."""
         if connection not in self._connections:
             return []
--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -171,7 +171,20 @@
     (old,) = server.rings
     entry = ListedServer("server", (HOST, server.port), 1, True, False, stage.loop.clock.now())
     stage.switch.pool_changed(9, i.ListKind.CHANGES, [entry])
-    stage.play("wait 14000")  # until it is not cold any more
+    stage.play("wait 14000\n server expect CLOSED")  # until it is not cold any more
     stage.play("other send INVITE t x-cos=small x-timer-ms=2000\n server expect INVITE t")
     (setup,) = [message for message in server.requests if message.method == "INVITE"]
     assert server.received_on[id(setup)] is not old
+
+
+def test_a_set_up_at_the_old_process_is_over_once_the_list_tells_of_the_restart() -> None:
+    """The old machine had vanished: its set-up was waited for until its time was up."""
+    stage = Platform("server")
+    stage.play(
+        "wait 1000\n other send INVITE t x-cos=small x-timer-ms=2000\n server expect INVITE t\n wait 10"
+    )
+    entry = ListedServer("server", (HOST, stage.peers["server"].port), 1, True, False, stage.loop.clock.now())
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, [entry])
+    stage.play("server expect CANCEL t")
+    (call,) = stage.switch._by_number.values()
+    assert call.attempt_out is None and not call.settled
