--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -207,18 +207,27 @@
     assert not stage.front.endpoint.transactions._client_transactions
 
 
-def board_told(*reports: tuple[str, bool, datetime | None]) -> list[ListedServer]:
-    """What the core gets when the board tells these names, removals and starts of one address."""
+Report = tuple[str, bool, datetime | None]
+
+
+def board_told(*events: Report | list[Report]) -> list[ListedServer]:
+    """What the core gets when the board tells these names, removals and starts of one address.
+
+    A list is one event.
+    """
     stage = SipStage()
     host = PoolHost(stage.loop, stage.switch, PoolSettings(), (BOARD,))
     got: list[ListedServer] = []
     stage.switch.pool_changed = lambda version, kind, entries: got.extend(entries)  # type: ignore[method-assign]
     board = BoardSource(host)
-    for version, (name, removed, started) in enumerate(reports):
+    for version, event in enumerate(events):
         stage.wait(timedelta(seconds=1))
-        entry = ListedServer(name, (HOST, 5060), 1, not removed, removed, started)
+        entries = [
+            ListedServer(name, (HOST, 5060), 1, not removed, removed, started)
+            for name, removed, started in (event if isinstance(event, list) else [event])
+        ]
         kind = i.ListKind.CHANGES if version else i.ListKind.SAVED
-        board.pool_changed(version, kind, [entry])
+        board.pool_changed(version, kind, entries)
     return got
 
 
@@ -230,6 +239,18 @@
     assert replaced.serving and replaced.ended_before == late
 
 
+def test_calls_at_the_new_process_go_on_when_one_event_removes_the_old_name_and_adds_the_new_one() -> None:
+    """They ended with those of the old process, as that one's end was dated by the event."""
+    started = SipStage().loop.clock.now() + timedelta(seconds=1)
+    entries: list[Report | list[Report]] = [
+        ("s-1", False, None),
+        [("s-1", True, None), ("s-9", False, started)],
+    ]
+    first, *later = board_told(*entries)
+    assert first.ended_before is None
+    assert [entry.ended_before for entry in later] == [started] and later[0].serving
+
+
 def test_a_server_that_is_only_left_out_of_an_answer_keeps_its_calls() -> None:
     """In SRV and in a zone, a record that is taken out is a drain."""
     now = SipStage().loop.clock.now()
