Date a process's end by its successor's start, where one event tells both

Cause: Pool.partial_update applied the removal first, so that calls counted as over up to the instant of the news. Change: a removal is passed over where the same update gives the start of another server at the address.

--- a/reedmount/pool/pool.py
+++ b/reedmount/pool/pool.py
@@ -146,14 +146,22 @@
     def partial_update(
         self, now: datetime, source: str, claims: Sequence[Claim], part: str = ""
     ) -> list[Change]:
-        """Apply an update about single servers; the others are unaffected."""
+        """Apply an update about single servers; the others are unaffected.
+
+        Where it also gives the start of a server at the address of one that leaves, only that start counts.
+        """
         origin = self.sources[source]
         sequence = origin.record_answer(now, part, None, None)
         at_startup = self._is_startup_answer(now, origin.part(part))
-        ordered = sorted(claims, key=lambda claim: claim.state is ClaimState.SERVING)
-        return self._apply_claims(now, origin, part, ordered, at_startup, sequence) + self._update_expired(
-            now
-        )
+        serving = [claim for claim in claims if claim.state is ClaimState.SERVING]
+        taken = {claim.endpoint: claim.name for claim in serving if claim.started is not None}
+        leaving = [
+            claim
+            for claim in claims
+            if claim.state is not ClaimState.SERVING and taken.get(claim.endpoint, claim.name) == claim.name
+        ]
+        changes = self._apply_claims(now, origin, part, [*leaving, *serving], at_startup, sequence)
+        return changes + self._update_expired(now)
 
     def source_failed(self, source: str, reason: str, part: str = "") -> None:
         """Record a missing or invalid answer: no server changes."""
