Test a new name without a start at a SIP call server's address (known red)

Cause: the SIP front ends calls at an address by a removal or a start; a name that another one replaces has neither. Change: a failing test, listed. Result: expected failure: nothing tells the core that the process has ended.

--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -251,6 +251,12 @@
     assert [entry.ended_before for entry in later] == [started] and later[0].serving
 
 
+def test_a_new_name_without_a_start_at_an_address_says_that_the_process_before_it_has_ended() -> None:
+    """Nothing ended its calls, and their callers were never told."""
+    _, replaced = board_told(("s-1", False, None), ("s-2", False, None), ("s-2", False, None))
+    assert replaced.serving and replaced.ended_before is not None
+
+
 def test_a_server_that_is_only_left_out_of_an_answer_keeps_its_calls() -> None:
     """In SRV and in a zone, a record that is taken out is a drain."""
     now = SipStage().loop.clock.now()
