Take a new name at a SIP call server's address for the end of the process before it

What callers saw (in a test): calls at a SIP call server whose name another one replaces on the notice board, without a start, are left standing. Cause: an end was dated by a removal or a start only; a name that replaces another had neither. Change: claims of the notice board say that their names are those of processes; such a change of the name at an address dates the end by the news. SRV and zone names stay aliases.

--- a/reedmount/pool/claims.py
+++ b/reedmount/pool/claims.py
@@ -34,6 +34,7 @@
     started: datetime | None = None
     priority: int | None = None  # RFC 2782: the lowest is used first; None where the source has none
     weight: int | None = None
+    names_process: bool = False  # another name at the address is another process, and not an alias
     ended: bool = False  # its process has ended; a server that is GONE otherwise finishes its calls
 
     def __post_init__(self) -> None:
--- a/reedmount/pool/source.py
+++ b/reedmount/pool/source.py
@@ -43,6 +43,14 @@
     claim: Claim
     received_at: datetime
     sequence: int  # of the part's update that brought it
+    replaced_at: datetime | None = None  # when it was first named in place of another process
+
+    @property
+    def ended_before(self) -> datetime | None:
+        """Before when calls sent to the server are over."""
+        if self.claim.ended:
+            return self.received_at
+        return self.claim.started or self.replaced_at
 
 
 @dataclass(slots=True)
@@ -102,7 +110,10 @@
             return
         if previous is not None and claim.state in LEAVING and claim.name != previous.claim.name:
             return
-        by_part[name] = Statement(claim, now, sequence)
+        replaced_at = None if previous is None else previous.replaced_at
+        if previous is not None and claim.names_process and claim.name != previous.claim.name:
+            replaced_at = now
+        by_part[name] = Statement(claim, now, sequence, replaced_at)
 
     def record_omission(self, now: datetime, name: str, endpoint: Endpoint, sequence: int) -> None:
         """Mark a server as removed because a complete answer does not contain it."""
@@ -129,10 +140,7 @@
     def ended_before(self, endpoint: Endpoint) -> datetime | None:
         """Return before when calls sent to the server are over, as its process has ended or started anew."""
         by_part = self.statements.get(endpoint) or {}
-        instants = (
-            statement.received_at if statement.claim.ended else statement.claim.started
-            for statement in by_part.values()
-        )
+        instants = (statement.ended_before for statement in by_part.values())
         return max((instant for instant in instants if instant is not None), default=None)
 
     def current_statement(self, endpoint: Endpoint) -> Statement | None:
--- a/reedmount/sources/lists.py
+++ b/reedmount/sources/lists.py
@@ -37,7 +37,14 @@
             ClaimState.GONE if entry.removed else ClaimState.SERVING if entry.serving else ClaimState.DRAINING
         )
         # The board gives no transport. It tells a drain apart, so what it no longer lists has ended.
-        return Claim(entry.address, entry.server, state, started=entry.started, ended=entry.removed)
+        return Claim(
+            entry.address,
+            entry.server,
+            state,
+            started=entry.started,
+            names_process=True,
+            ended=entry.removed,
+        )
 
 
 class ZoneSource:
