--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -82,6 +82,18 @@
     assert stage.switch.call_counts == {"open": 0, "standing": 1}
 
 
+def test_a_call_on_a_connection_from_before_the_start_of_a_new_process_is_ended_at_both_sides() -> None:
+    """Sent since that start, it was taken for one of the new process and left standing."""
+    stage = SipStage("server", kind="tcp")
+    stage.play(call("phone", "server", "old") + "wait 1000")
+    started = stage.loop.clock.now()
+    stage.play("wait 100\n" + call("desk", "server", "late") + "wait 700")
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, [listed(stage, started=started, ended_before=started)])
+    stage.play("phone expect BYE old reason=Q.850;cause=41\n desk expect BYE late reason=Q.850;cause=41")
+    stage.play("server expect BYE\n server expect BYE")
+    assert stage.switch.is_idle
+
+
 def test_a_set_up_at_a_process_that_has_ended_is_sent_to_another_server() -> None:
     """Over UDP it was retransmitted to the address until its time was up."""
     stage = SipStage("server", "second", max_attempts=2)
