SIP front: end calls on connections that were dialled before a new process's start

What callers saw (in a test): a call that the old process had answered since the new one's start is left standing. Change: over TCP the instant at which its connection was dialled counts as well. Result: the listed test failed before and passes. The test with calls of both processes had them on one connection, which no two processes share; over TCP the old one's connection is reset in between now.

--- a/reedmount/fronts/server_connection.py
+++ b/reedmount/fronts/server_connection.py
@@ -124,7 +124,7 @@
         self.writing: Callable[[], None] | None = None
         self._clock, self._limits = server.loop.clock, server.limits
         # When a message other than a probe was last sent, or an answer received.
-        self._used_at = self.dialled_at = self._clock.now()
+        self._used_at = self._clock.now()
         self.announced = False  # the log has a line that it is up
         self.liveness = Liveness(self._used_at)
         self.transport = Connection.dial(
@@ -134,6 +134,11 @@
             lambda _: server.post(Connected(self)),
         )  # fmt: skip
 
+    @property
+    def dialled_at(self) -> datetime:
+        """When connecting began."""
+        return self.transport.created_at
+
     @property
     def free(self) -> bool:
         """Whether it is up, with no attempt open and nothing queued."""
--- a/reedmount/fronts/sip_server_leg.py
+++ b/reedmount/fronts/sip_server_leg.py
@@ -15,6 +15,7 @@
 from reedmount.net.loop import Loop
 from reedmount.sip import dialog as dialogs
 from reedmount.sip.dialog import Dialog, DialogState
+from reedmount.sip.endpoint import TcpHop
 from reedmount.sip.message import Message, parameter, request
 from reedmount.sip.transaction import ClientTransaction, Hop, State
 
@@ -132,9 +133,15 @@
         self.peer.established_legs.pop(self.setup.name, None)
         self.peer.ended(self.setup.name)
 
-    def sent_before(self, instant: datetime) -> bool:
-        """Whether the attempt was sent before an instant."""
-        return self.sent_at is not None and self.sent_at < instant
+    def reached_process_before(self, instant: datetime) -> bool:
+        """Whether the process that got the attempt ran before an instant.
+
+        The attempt was sent before it, or on a connection that was dialled before it.
+        """
+        if self.sent_at is None:
+            return False
+        dialled_at = self.hop.connection.created_at if isinstance(self.hop, TcpHop) else self.sent_at
+        return min(self.sent_at, dialled_at) < instant
 
     @property
     def awaits_final(self) -> bool:
--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -95,8 +95,8 @@
 
     def _end_calls_before(self, instant: datetime) -> None:
         """End what was sent to a process that has ended, towards both sides in case it still runs."""
-        attempts = [leg for leg in self.legs.values() if leg.sent_before(instant)]
-        calls = [leg for leg in self.established_legs.values() if leg.sent_before(instant)]
+        attempts = [leg for leg in self.legs.values() if leg.reached_process_before(instant)]
+        calls = [leg for leg in self.established_legs.values() if leg.reached_process_before(instant)]
         COUNTERS.add("server.process_ended")
         self.loop.trace("server.process_ended", server=self.entry.server, before=stamp(instant),
                         attempts=len(attempts), ended=len(calls),
--- a/reedmount/net/connection.py
+++ b/reedmount/net/connection.py
@@ -61,7 +61,8 @@
         self.connected = True
         self.ended = False
         self.peer_finished = False  # the peer has shut down its side; data it sent may still be unread
-        self.opened_at: datetime = loop.clock.now()
+        self.created_at: datetime = loop.clock.now()  # accepted, or when connecting began
+        self.opened_at: datetime = self.created_at
         self.last_received_at: datetime = self.opened_at
         self._outgoing = Ring(MAX_OUTGOING)
         self._loop, self._sock, self._urgent = loop, sock, urgent
--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -76,6 +76,8 @@
     stage = SipStage("server", kind=kind)
     stage.play(call("phone", "server", "old") + "wait 1000")
     started = stage.loop.clock.now()
+    if kind == "tcp":
+        stage.play("wait 100\n server close reset")
     stage.play("wait 1000\n" + call("desk", "server", "new"))
     stage.switch.pool_changed(9, i.ListKind.CHANGES, [listed(stage, started=started, ended_before=started)])
     stage.play("phone expect BYE old reason=Q.850;cause=41\n server expect BYE\n desk expect nothing")
