--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -96,6 +96,22 @@
     assert stage.switch.is_idle
 
 
+def test_a_set_up_goes_to_the_new_process_and_not_on_the_old_one_s_silent_connection() -> None:
+    """The old machine had vanished: the set-up was sent into the void until its time was up."""
+    stage = SipStage("server", kind="tcp")
+    stage.play(call("phone", "server") + "phone send BYE c1\n phone expect 200 c1\n server expect BYE")
+    stage.play("server send 200 BYE\n wait 1000")
+    server = stage.peers["server"]
+    (old,) = server.rings
+    now = stage.loop.clock.now()
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, [listed(stage, started=now, ended_before=now)])
+    stage.play("wait 14000")  # until it is not cold any more
+    stage.play("phone send INVITE c2\n phone expect 100 c2")
+    stage.settle()
+    setup = server.requests[-1]
+    assert setup.method == "INVITE" and server.received_on[id(setup)] is not old
+
+
 def test_a_set_up_at_a_process_that_has_ended_is_sent_to_another_server() -> None:
     """Over UDP it was retransmitted to the address until its time was up."""
     stage = SipStage("server", "second", max_attempts=2)
