SIP front: leave the connection of a call server's old process once its end is told

What callers saw (in a test): set-ups after a listed restart go on the silent connection of the machine that vanished. Cause: a SIP server has one connection, which stayed in use whatever the list said of the process behind it. Change: a connection dialled before the told end is closed once what is buffered is sent; the next message dials.

--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -106,6 +106,18 @@
         for leg in calls:
             leg.release(CUT)
             self.front.switch.call_lost(leg.setup.name, self.entry.server, "its process has ended")
+        self._leave_connection_before(instant)
+
+    def _leave_connection_before(self, instant: datetime) -> None:
+        """Connect anew for what comes, if the connection reaches a process that ended before an instant."""
+        hop = self._hop
+        if hop is None or not hop.connection.connected or hop.connection.created_at >= instant:
+            return
+        self._hop = None
+        hop.on_lost = hop.on_connected = None
+        hop.connection.close_after_send()
+        if self._needs_connection:
+            self._reconnect_timer.schedule()
 
     def _setup(self, setup: Setup) -> None:
         leg = self.legs[setup.name] = ServerLeg(self, setup)
