SIP front: ask a new process at a call server's address for the calls since its start

What callers saw (in a test): over UDP a call that the old process had answered since the new one's start stands on. Change: for each call that is kept at a replaced process, an OPTIONS goes out in its dialog (RFC 3261, 12.2.1.2). 481 or 408 ends the call towards its caller, no response ends it at both sides; any other final response keeps it.

--- a/reedmount/fronts/sip_server_leg.py
+++ b/reedmount/fronts/sip_server_leg.py
@@ -30,6 +30,8 @@
 }
 PROGRESS = {180: Progress.RINGING, 181: Progress.FORWARDED, 182: Progress.QUEUED, 183: Progress.SESSION}
 UNKNOWN_TRANSACTION = 481
+NO_DIALOG = "its server does not know its dialog"
+DIALOG_ENDED = (408, 481)  # statuses that end the dialog of their request
 MAX_FORKS = 16  # limit of forked answers to one set-up that are released
 MAX_PROGRESS = 32  # provisional responses passed on per attempt; a server may send them without end
 
@@ -133,6 +135,28 @@
         self.peer.established_legs.pop(self.setup.name, None)
         self.peer.ended(self.setup.name)
 
+    def ask_for_dialog(self) -> None:
+        """Ask the server whether it has the dialog, since another process may be at its address."""
+        if self.dialog is None or self.hop is None:
+            return
+        COUNTERS.add("server.dialogs_asked_for")
+        hop = self.peer.current_hop(self.hop)
+        options = self.dialog.request("OPTIONS", self.peer.front.via(hop))
+        self.peer.front.endpoint.transactions.send(options, hop, self._handle_dialog_response)
+
+    def _handle_dialog_response(self, message: Message | None) -> None:
+        """The dialog has ended where the server does not know it or does not respond (RFC 3261, 12.2.1.2)."""
+        if message is not None and message.status not in DIALOG_ENDED:
+            return
+        if self.peer.established_legs.get(self.setup.name) is not self:
+            return
+        COUNTERS.add("calls.unproven")
+        if message is None:
+            self.release(CUT)
+        else:
+            self.dialog_ended()
+        self.peer.front.switch.call_lost(self.setup.name, self.peer.entry.server, NO_DIALOG)
+
     def reached_process_before(self, instant: datetime) -> bool:
         """Whether the process that got the attempt ran before an instant.
 
--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -94,7 +94,10 @@
         self.ended("")
 
     def _end_calls_before(self, instant: datetime) -> None:
-        """End what was sent to a process that has ended, towards both sides in case it still runs."""
+        """End what was sent to a process that has ended, towards both sides in case it still runs.
+
+        Of the other calls it may have answered some, so the server is asked for their dialogs.
+        """
         attempts = [leg for leg in self.legs.values() if leg.reached_process_before(instant)]
         calls = [leg for leg in self.established_legs.values() if leg.reached_process_before(instant)]
         COUNTERS.add("server.process_ended")
@@ -107,6 +110,8 @@
             leg.release(CUT)
             self.front.switch.call_lost(leg.setup.name, self.entry.server, "its process has ended")
         self._leave_connection_before(instant)
+        for leg in list(self.established_legs.values()):
+            leg.ask_for_dialog()
 
     def _leave_connection_before(self, instant: datetime) -> None:
         """Connect anew for what comes, if the connection reaches a process that ended before an instant."""
--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -112,6 +112,31 @@
     assert stage.switch.is_idle and not stage.front.server_legs
 
 
+@pytest.mark.parametrize("status", [200, 501])
+@pytest.mark.parametrize("kind", ["udp", "tcp"])
+def test_a_call_since_a_new_process_s_start_goes_on_where_that_one_answers_for_it(
+    kind: str, status: int
+) -> None:
+    stage = SipStage("server", kind=kind)
+    replaced_since(stage, "phone", "c1")
+    stage.play(f"server expect OPTIONS\n server send {status} OPTIONS\n wait 33000\n phone expect nothing")
+    stage.play("phone send BYE c1\n phone expect 200 c1\n server expect BYE")
+
+
+def test_a_call_whose_dialog_is_not_answered_for_is_ended_at_both_sides() -> None:
+    stage = SipStage("server")
+    replaced_since(stage, "phone", "c1")
+    stage.play("server expect OPTIONS\n wait 32100\n phone expect BYE c1 reason=Q.850;cause=41")
+    assert "BYE" in {message.method for message in stage.peers["server"].inbox} and stage.switch.is_idle
+
+
+def test_a_call_whose_connection_is_reset_before_its_dialog_is_answered_for_is_ended() -> None:
+    """The old process may have answered it and died as the list told."""
+    stage = SipStage("server", kind="tcp")
+    replaced_since(stage, "phone", "c1")
+    stage.play("server expect OPTIONS\n server close reset\n phone expect BYE c1 reason=Q.850;cause=41")
+
+
 def test_a_set_up_goes_to_the_new_process_and_not_on_the_old_one_s_silent_connection() -> None:
     """The old machine had vanished: the set-up was sent into the void until its time was up."""
     stage = SipStage("server", kind="tcp")
