Test a call server that one event removes and lists again (known red)

Cause: additions of an event come before its removals since calls are moved to successors; where both have the same name, the server is gone for good. Change: a failing test, listed.

--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -9,6 +9,7 @@
 
 from reedmount import interface as i
 from reedmount.core.ports import ListedServer
+from reedmount.fronts.board import BoardList, Notice
 from tests.scenario import HOST
 from tests.test_platform import ESTABLISH, ESTABLISH_OTHER, Platform
 
@@ -188,3 +189,19 @@
     stage.play("server expect CANCEL t")
     (call,) = stage.switch._by_number.values()
     assert call.attempt_out is None and not call.settled
+
+
+def test_a_server_that_one_event_removes_and_lists_again_is_used() -> None:
+    """It was removed for good, though listed as serving."""
+    for started in (True, False):
+        stage = Replacement()
+        board = BoardList(stage.switch)
+        board.start(1, [Notice(1, True, (stage.entry("server"),))])
+        again = stage.entry("server", stage.started if started else None)
+        board.take(2, [Notice(2, False, (removed(stage.entry("server")), again))])
+        stage.play("caller expect BYE c1\n caller send 200 BYE")
+        stage.play("wait 1" if started else "other expect BYE t\n other send 200 BYE")
+        stage.play("wait 14000")
+        stage.told()
+        stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
+        stage.loop.close()
