Report the end of a call server that the same event lists again before its new process

What callers saw (in a test): a call server that one event removes and lists again gets no more calls. Cause: an event's additions are applied before its removals, and names stood for processes: of two entries with one name the removal was the last. The decision module drops such a name as well. Change: the last entry of a name counts; an end that its new start does not tell is reported first, by itself. Result: the listed test failed before and passes; 85 tests of the board, the sources and both fronts pass.

--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -107,7 +107,7 @@
             changed = self._merge(notice)
             self.last = notice.number
             COUNTERS.add("board.events")
-            self._listener.pool_changed(self.last, i.ListKind.CHANGES, changed)
+            self._report(changed)
         self.last = max(self.last, last)
         return True
 
@@ -122,7 +122,22 @@
             if old.server not in self._hosts
         ]
         self.last = last
-        self._listener.pool_changed(self.last, i.ListKind.CHANGES, [*removed, *self._hosts.values()])
+        self._report([*removed, *self._hosts.values()])
+
+    def _report(self, entries: list[ListedServer]) -> None:
+        """Report changes; the end of a process whose name is listed again is reported first, by itself.
+
+        Where the start of the new process is told, that tells of the old one's end.
+        """
+        latest = {entry.server: entry for entry in entries}
+        ended = [
+            entry
+            for entry in entries
+            if entry.removed and not latest[entry.server].removed and latest[entry.server].started is None
+        ]
+        if ended:
+            self._listener.pool_changed(self.last, i.ListKind.CHANGES, ended)
+        self._listener.pool_changed(self.last, i.ListKind.CHANGES, list(latest.values()))
 
     def _merge(self, notice: Notice) -> list[ListedServer]:
         changed = list(notice.entries)
