Test a call server that is listed at another address (known red)

Cause: an entry with another address keeps the connections to the old one. Result: expected failure: its call's caller is told nothing.

--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -205,3 +205,16 @@
         stage.told()
         stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
         stage.loop.close()
+
+
+def test_calls_of_a_server_end_when_the_board_gives_it_another_address() -> None:
+    """Its connections to the old address stayed in use, and its calls there were left standing."""
+    stage = Platform("server")
+    moved = stage.peer("moved", "thin")
+    stage.play(ESTABLISH)
+    board = BoardList(stage.switch)
+    entry = ListedServer("server", (HOST, stage.peers["server"].port), 1, True, False, None)
+    board.start(1, [Notice(1, True, (entry,))])
+    board.take(2, [Notice(2, False, (replace(entry, address=(HOST, moved.port)),))])
+    stage.play("caller expect BYE c1 reason=Q.850;cause=41\n server expect BYE c1")
+    stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n moved expect INVITE u")
