End a call server's calls at its old address when the board lists it at another one

What callers saw (in a test): a call at the old address stands on, and set-ups still go there. Cause: the board's entries are kept by name, and a name with another address was an update of the same process. Change: the old address is reported as removed first, on both fronts, also where all events are read again.

--- a/reedmount/fronts/board.py
+++ b/reedmount/fronts/board.py
@@ -74,6 +74,11 @@
         raise BoardError(f"{type(error).__name__} {error}") from None  # OverflowError: JSON's Infinity
 
 
+def _removal(entry: ListedServer) -> ListedServer:
+    """The removal of a server that is listed no more, or no more at this address."""
+    return ListedServer(entry.server, entry.address, entry.number, False, True, entry.started)
+
+
 class PoolListener(Protocol):
     """Receives updates of the pool: the core, or a pool of several sources."""
 
@@ -116,25 +121,26 @@
         before, self._hosts = self._hosts, {}
         for notice in sorted(notices, key=lambda notice: notice.number):
             self._merge(notice)
-        removed = [
-            ListedServer(old.server, old.address, old.number, False, True, old.started)
+        ended = [
+            _removal(old)
             for old in before.values()
-            if old.server not in self._hosts
+            if old.server not in self._hosts or self._hosts[old.server].address != old.address
         ]
         self.last = last
-        self._report([*removed, *self._hosts.values()])
+        self._report([*ended, *self._hosts.values()])
 
     def _report(self, entries: list[ListedServer]) -> None:
         """Report changes; the end of a process whose name is listed again is reported first, by itself.
 
-        Where the start of the new process is told, that tells of the old one's end.
+        Where the start of the new process at the same address is told, that tells of the old one's end.
         """
         latest = {entry.server: entry for entry in entries}
-        ended = [
-            entry
-            for entry in entries
-            if entry.removed and not latest[entry.server].removed and latest[entry.server].started is None
-        ]
+        ended = []
+        for entry in entries:
+            current = latest[entry.server]
+            end_is_told = current.started is not None and current.address == entry.address
+            if entry.removed and not current.removed and not end_is_told:
+                ended.append(entry)
         if ended:
             self._listener.pool_changed(self.last, i.ListKind.CHANGES, ended)
         self._listener.pool_changed(self.last, i.ListKind.CHANGES, list(latest.values()))
@@ -143,12 +149,11 @@
         changed = list(notice.entries)
         if notice.complete:
             named = {entry.server for entry in changed}
-            changed += [
-                ListedServer(old.server, old.address, old.number, False, True, old.started)
-                for old in self._hosts.values()
-                if old.server not in named
-            ]
-        for entry in changed:
+            changed += [_removal(old) for old in self._hosts.values() if old.server not in named]
+        for entry in list(changed):
+            known = self._hosts.get(entry.server)
+            if known is not None and known.address != entry.address:
+                changed.insert(0, _removal(known))
             if entry.removed:
                 self._hosts.pop(entry.server, None)
             else:
