Soak: successors at the addresses of servers that die, told in one or two events

Change: up to two successions a run, drawn from a generator of their own so that the other faults of a seed stay; a successor is started up to 1 s before the old process dies, three in ten are restarts under the same name.

--- a/standins/soak/cases.py
+++ b/standins/soak/cases.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from standins.soak.board import BoardMode
-from standins.soak.plan import Plan, Step
-from standins.soak.run import Run, unix_ms
+from standins.soak.plan import Plan, Step, unix_ms
+from standins.soak.run import Run
 
 CASES: dict[str, Callable[[], Plan]] = {}
 DISCOVERY_DOWN_S = 9.5  # longer than the limit for notifying callers
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -16,6 +17,17 @@
 TRAFFIC_S = 12.0
 FAULT_COUNT = (4, 12)
 FIRST_FAULT_S, LAST_FAULT_S = 1.5, 9.0
+LAST_SUCCESSION_S = 5.0  # the clients' calls at its end have to be told of before the run ends
+MAX_SUCCESSIONS = 2
+MAX_DISCOVERY_DELAY_S = 6.0
+ONE_EVENT_SHARE = 0.6  # of replacements, told in one event
+RESTARTED_SHARE = 0.3  # of successors, with the name of their predecessor
+
+
+def unix_ms() -> int:
+    """The Unix time in milliseconds, as discovery tells when a process was started."""
+    return int(time.time() * 1000)
+
 
 FaultAction = Callable[["Run", random.Random], Awaitable[None]]
 
@@ -163,9 +175,30 @@
     await run.sleep(rng.uniform(0.2, 3.0))
     for server in removed:
         run.reuse_addresses_of(server)
-    await run.sleep(rng.uniform(0.2, 8.0))
-    run.publish_state(removed, "DELETED")
-    run.publish_new()
+    await _report_replaced(run, removed, rng)
+
+
+async def succeed_in_place(run: Run, rng: random.Random) -> None:
+    """Crash processes as others, which were started meanwhile, take their addresses; names may stay."""
+    removed = run.some_servers(rng, max_count=2)
+    born_ms = unix_ms()
+    await run.sleep(rng.uniform(0.0, 1.0))
+    restarted = rng.random() < RESTARTED_SHARE
+    for server in removed:
+        server.die()
+        run.reuse_addresses_of(server, born_ms, server.name if restarted else "")
+    await _report_replaced(run, [] if restarted else removed, rng)
+
+
+async def _report_replaced(run: Run, removed: list[CallServer], rng: random.Random) -> None:
+    """Publish after a delay that servers are deleted and what has their addresses, in one event or in two."""
+    await run.sleep(rng.uniform(0.2, MAX_DISCOVERY_DELAY_S))
+    if rng.random() < ONE_EVENT_SHARE:
+        run.publish_new(removed)
+    else:
+        run.publish_state(removed, "DELETED")
+        await run.sleep(rng.choice((0.0, 0.4)))
+        run.publish_new()
 
 
 async def idle_connections(run: Run, rng: random.Random) -> None:
@@ -223,4 +256,9 @@
     weights = [weight for _, weight in FAULT_ACTIONS.values()]
     chosen = rng.choices(names, weights, k=rng.randint(*FAULT_COUNT))
     steps = [Step(rng.uniform(FIRST_FAULT_S, LAST_FAULT_S), name, FAULT_ACTIONS[name][0]) for name in chosen]
+    successions = random.Random(f"successions {seed}")
+    steps += [
+        Step(successions.uniform(FIRST_FAULT_S, LAST_SUCCESSION_S), "succeed in place", succeed_in_place)
+        for _ in range(successions.randint(0, MAX_SUCCESSIONS))
+    ]
     return Plan(sorted(steps, key=lambda step: step.at))
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -6,7 +6,6 @@
 import os
 import random
 import signal
-import time
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
@@ -20,7 +19,7 @@
 from standins.soak.clients import CallClass, ClientProfile, Clients
 from standins.soak.history import History
 from standins.soak.nodes import SOCKETS, Node
-from standins.soak.plan import TRAFFIC_S, Plan
+from standins.soak.plan import TRAFFIC_S, Plan, unix_ms
 
 NODES, SERVERS = 3, 4
 READY_WITHIN_S = 10.0
@@ -42,11 +41,6 @@
     story: list[str]
 
 
-def unix_ms() -> int:
-    """The Unix time in milliseconds, as discovery tells when a process was started."""
-    return int(time.time() * 1000)
-
-
 def settings_for(classes: list[CallClass], nodes: int) -> dict[str, Any]:
     """The settings object of the platform's configuration file."""
     described = [
@@ -155,20 +149,21 @@
             self._new_server({}, born_ms)
         self.publish_new()
 
-    def reuse_addresses_of(self, removed: CallServer, born_ms: int = 0) -> None:
+    def reuse_addresses_of(self, removed: CallServer, born_ms: int = 0, name: str = "") -> None:
         """Start a call server at the addresses of a removed one, without publishing it.
 
-        ``born_ms`` is the Unix time at which its process was started, if that was before it listens.
+        ``born_ms`` is the Unix time at which its process was started, if that was before it listens, ``name``
+        that of the removed one if it was restarted.
         """
         removed.release_addresses()
-        fresh = self._new_server(removed.ports(), born_ms or unix_ms())
+        fresh = self._new_server(removed.ports(), born_ms or unix_ms(), name)
         self.history.record_event(f"{fresh.name} has the addresses of {removed.name}")
 
-    def _new_server(self, ports: dict[str, int], born_ms: int) -> CallServer:
+    def _new_server(self, ports: dict[str, int], born_ms: int, name: str = "") -> CallServer:
         number = len(self.servers) + 1
         rng = self._fork(f"server {number}")
         fresh = CallServer(
-            f"s{number}", number, self._names, self.history, rng, at_ports=ports, born_ms=born_ms
+            name or f"s{number}", number, self._names, self.history, rng, at_ports=ports, born_ms=born_ms
         )
         fresh.busy = True  # until discovery names it
         self.servers.append(fresh)
