Test a new call server whose predecessor's name is listed again (known red)

Cause: any other name listed at an address counts as the successor there. Change: a failing test, listed. Result: expected failure: the new server is removed and its call ends.

--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -218,3 +218,19 @@
     board.take(2, [Notice(2, False, (replace(entry, address=(HOST, moved.port)),))])
     stage.play("caller expect BYE c1 reason=Q.850;cause=41\n server expect BYE c1")
     stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n moved expect INVITE u")
+
+
+def test_a_new_server_stays_in_use_when_the_old_name_at_its_address_is_listed_again() -> None:
+    """Each was taken for the successor of the other, and both were removed."""
+    stage = Replacement()
+    board = BoardList(stage.switch)
+    old = Notice(1, True, (stage.entry("server"),))
+    new = Notice(2, False, (stage.entry("new", stage.started),))
+    board.start(1, [old])
+    board.take(2, [new])
+    stage.play("caller expect BYE c1\n caller send 200 BYE\n wait 700")
+    board.replace_all(2, [old, new])
+    board.take(3, [Notice(3, False, (replace(stage.entry("server"), serving=False),))])
+    stage.play("wait 14000\n other expect nothing")
+    stage.told()
+    stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
