Keep a new call server whose predecessor at the address is still listed

What callers saw (in a test): a new call server is removed and its calls end, though it is listed and serves. Cause: Switch took any other name at an address for the successor there, so that a second look at a list with both names had each replace the other. Change: core/address_holders.py, pure: the start tells the later process where both are known, else a name that was replaced does not come back by being listed again.

--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -9,6 +9,7 @@
 from reedmount import interface as i
 from reedmount.control import Controller
 from reedmount.core.actors import Actor, Scheduler
+from reedmount.core.address_holders import AddressHolders
 from reedmount.core.checks import COUNTERS, invariant, log
 from reedmount.core.clock import ZERO, Clock, micros, span, span_micros, stamp, whole_millis
 from reedmount.core.lifecycle import Lifecycle, Need
@@ -70,7 +71,7 @@
         self._call_memory = 0  # bytes, of all calls
         self._unsent: dict[int, datetime] = {}  # calls with no attempt sent yet, oldest first
         self._reports: dict[str, i.LoadReport] = {}  # of this turn
-        self._by_address: dict[tuple[str, int], ListedServer] = {}  # the server last listed at each address
+        self._addresses = AddressHolders()
         self.recorder: CallRecorder | None = None
         self.on_attempt: Callable[[str, i.Outcome | None], None] | None = None  # None: sent
 
@@ -386,7 +387,7 @@
         """Apply a pool list: to the server side first, so that nothing queued there goes to a drain."""
         self._trace("list.changed", version=version, kind=kind.value, servers=len(entries),
                     leaving=sum(not entry.serving for entry in entries))  # fmt: skip
-        entries = [*entries, *self._replaced(entries)]
+        entries = self._addresses.resolve(entries)
         for entry in entries:
             self._trace("list.server", server=entry.server, address=f"{entry.address[0]}:{entry.address[1]}",
                         state=_state(entry).value, started=stamp(entry.started))  # fmt: skip
@@ -404,23 +405,6 @@
         self._inbox.post(i.ServerList(version, kind, listed))
         self.lifecycle.satisfy(Need.SERVERS)
 
-    def _replaced(self, entries: list[ListedServer]) -> list[ListedServer]:
-        """Return the removals of servers whose address another one has now, if the list has not told them."""
-        removed = {entry.server for entry in entries if entry.removed}
-        found = []
-        for entry in entries:
-            if entry.removed:
-                continue
-            previous = self._by_address.get(entry.address)
-            if previous is not None and previous.server not in {entry.server, *removed}:
-                found.append(replace(previous, serving=False, removed=True))
-            self._by_address[entry.address] = entry
-        for entry in (*entries, *found):
-            current = self._by_address.get(entry.address)
-            if entry.removed and current is not None and current.server == entry.server:
-                del self._by_address[entry.address]
-        return found
-
     # --- the module ---
 
     @property
