Test a replaced name that is listed again at a SIP call server's address (known red)

Cause: since a new name at an address tells of an end, the old name that is listed again does so as well.

--- a/tests/test_sip_server_loss.py
+++ b/tests/test_sip_server_loss.py
@@ -328,6 +328,15 @@
     assert replaced.serving and replaced.ended_before is not None
 
 
+def test_calls_go_on_when_a_name_that_was_replaced_at_an_address_is_listed_again() -> None:
+    """Each name was taken for a new process in place of the other, and the calls of both ended."""
+    now = SipStage().loop.clock.now()
+    for started in (None, now + timedelta(seconds=1)):
+        both = [("s-1", False, None), ("s-2", False, started)]
+        _, replaced, *later = board_told(*both, both, ("s-1", False, None))
+        assert {entry.ended_before for entry in later} <= {replaced.ended_before}
+
+
 def test_a_server_that_is_only_left_out_of_an_answer_keeps_its_calls() -> None:
     """In SRV and in a zone, a record that is taken out is a drain."""
     now = SipStage().loop.clock.now()
