SIP front: a replaced name that is listed again tells of no new process

What callers saw (in a test): all calls at a SIP call server end with each event that names its predecessor as well. Cause: a statement knew the name before it only, so that two names of an address took turns as the new process. Change: a statement keeps the names that it replaced (8 at most); a claim of one of these is passed over unless its start is later, or the present name is gone. Result: the listed test failed before and passes; 104 tests of the pool, the sources and the SIP front's ends pass.

--- a/reedmount/pool/source.py
+++ b/reedmount/pool/source.py
@@ -8,6 +8,8 @@
 
 from reedmount.pool.claims import LEAVING, Claim, ClaimState, Endpoint
 
+MAX_PREDECESSORS = 8  # names remembered for each address
+
 
 @dataclass(slots=True)
 class Part:
@@ -44,6 +46,17 @@
     received_at: datetime
     sequence: int  # of the part's update that brought it
     replaced_at: datetime | None = None  # when it was first named in place of another process
+    predecessors: tuple[str, ...] = ()  # names of the processes before it at the address, latest first
+
+    def is_replaced_by(self, claim: Claim) -> bool:
+        """Whether a claim names another process than this one."""
+        return claim.names_process and claim.name != self.claim.name
+
+    def is_later_than(self, claim: Claim) -> bool:
+        """Whether a claim is about a process that this one has replaced, though it is still named."""
+        if claim.name not in self.predecessors or self.claim.state is ClaimState.GONE:
+            return False
+        return self.claim.started is None or claim.started is None or claim.started < self.claim.started
 
     @property
     def ended_before(self) -> datetime | None:
@@ -110,10 +123,14 @@
             return
         if previous is not None and claim.state in LEAVING and claim.name != previous.claim.name:
             return
-        replaced_at = None if previous is None else previous.replaced_at
-        if previous is not None and claim.names_process and claim.name != previous.claim.name:
-            replaced_at = now
-        by_part[name] = Statement(claim, now, sequence, replaced_at)
+        if previous is not None and previous.is_later_than(claim):
+            return
+        statement = by_part[name] = Statement(claim, now, sequence)
+        if previous is not None and previous.is_replaced_by(claim):
+            statement.replaced_at = now
+            statement.predecessors = (previous.claim.name, *previous.predecessors)[:MAX_PREDECESSORS]
+        elif previous is not None:
+            statement.replaced_at, statement.predecessors = previous.replaced_at, previous.predecessors
 
     def record_omission(self, now: datetime, name: str, endpoint: Endpoint, sequence: int) -> None:
         """Mark a server as removed because a complete answer does not contain it."""
