--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -10,7 +10,7 @@
 from reedmount import interface as i
 from reedmount.core.ports import ListedServer
 from reedmount.fronts.board import BoardList, Notice
-from tests.scenario import HOST
+from tests.scenario import HOST, digits
 from tests.test_platform import ESTABLISH, ESTABLISH_OTHER, Platform
 
 
@@ -234,3 +234,12 @@
     stage.play("wait 14000\n other expect nothing")
     stage.told()
     stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
+
+
+def test_an_answer_that_crosses_the_replacement_is_released_at_the_new_process() -> None:
+    """The release was for the old name, which no server had any more: the call stood without a client."""
+    stage = Late()
+    stage.play("caller send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
+    stage.replace()
+    stage.play("server send 200 INVITE u\n wait 10\n caller send CANCEL u\n wait 100")
+    assert [text for text in stage.told() if text.startswith("BYE")][-1].split()[1] == digits("u")
