Release late answers of a replaced call server at the process that has its address

What callers saw (in a test): a call that was answered as its set-up was cancelled stands at the new process without a client, until that one ends it. Cause: the release waits for the call's end under the server's name, and given-up attempts were known to the actor of the old name only, while the answer may come on the new one's connections. Change: releases for a replaced name go to its successor's (256 names are kept); given-up attempts are passed on.

--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -99,6 +99,7 @@
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
         self._reconnect_timer = RetryTimer(loop, self._dial_if_unconnected)
         self._replaced = ReplacedProcess(self)
+        self._successor: CallServer | None = None  # once another process has the address
         # When a connection broke on which a release may have been in transit.
         self._releases_at_risk_since: datetime | None = None
         self._replacement_timer, self._replacement_attempts = RetryTimer(loop, self._retry_replacement), 0
@@ -125,6 +126,7 @@
         Those that it may have are moved at once, and end if no connection proves it. The others end as this
         call server is removed.
         """
+        self._successor = successor
         if successor.started is not None:
             moved = self._replaced.begin(successor.started)
             self._switch.move_calls(moved, successor.name)
@@ -137,6 +139,12 @@
             for name in ended:
                 successor.post(Release(name, CUT))
 
+    def remember_abandoned(self, name: str) -> None:
+        """Release a late answer to an attempt at this address that was given up."""
+        self._abandoned[name] = None
+        if len(self._abandoned) > MAX_REMEMBERED_CALLS:
+            del self._abandoned[next(iter(self._abandoned))]
+
     def takeover_finished(self, connections: Sequence[ServerConnection]) -> None:
         """These connections are not needed any more as a proof of which calls the new process has."""
         if self._entry.removed:
@@ -237,6 +245,9 @@
             self._release_all()
             self._switch.server_lost(entry.server, "it was removed from the list")
             self._finish_connections()
+            if self._successor is not None:
+                for name in self._abandoned:  # the late answer may come on its connections
+                    self._successor.remember_abandoned(name)
             self.loop.call_later(RETIRED_LINGER, self._stop)
 
     def _process_restarted(self, started: datetime, previous: datetime | None) -> None:
@@ -418,9 +429,7 @@
         del self._attempts[name]
         self._free_connection(attempt)
         if message is None and attempt.sent_at is not None:
-            self._abandoned[name] = None
-            if len(self._abandoned) > MAX_REMEMBERED_CALLS:
-                del self._abandoned[next(iter(self._abandoned))]
+            self.remember_abandoned(name)
         cause, report = i.Cause.NONE, NO_REPORT
         if message is not None:
             note = message.get("X-Diagnosis") or ""
--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -12,6 +12,8 @@
 from reedmount.fronts.server_connection import ConnectionLimits
 from reedmount.net.loop import Loop
 
+MAX_SUCCESSORS = 256  # releases that wait for their call's end are rare, and come within its deadline
+
 
 class CallServers:
     """The server side on the platform, with an actor for each listed call server."""
@@ -28,6 +30,7 @@
         # A release that waits for its caller is not confirmed: the server resends it if this process ends.
         self.has_unsent_release: Callable[[str], bool] = lambda name: False
         self._peers: dict[str, CallServer] = {}
+        self._successors: dict[str, str] = {}  # of replaced servers, the name of the next one at the address
 
     def servers_changed(self, entries: list[ListedServer]) -> None:
         """Update the actors; that of a server which left the list remains until its calls have ended."""
@@ -50,6 +53,9 @@
         for other in self._peers.values():
             if other is not peer and other.address == entry.address:
                 peer.hand_over_calls(other)
+                self._successors[peer.name] = other.name
+                if len(self._successors) > MAX_SUCCESSORS:
+                    del self._successors[next(iter(self._successors))]
 
     def probe_servers(self) -> None:
         """Probe all call servers with established calls."""
@@ -83,7 +89,12 @@
             peer.post(CancelSetup(name, attempt))
 
     def release(self, server: str | None, name: str, cause: int) -> None:
-        """Release a call at its server, or at all of them if it dates from before a restart."""
+        """Release a call at its server, or at all of them if it dates from before a restart.
+
+        A replaced server's releases go to the process that has its address.
+        """
+        if server is not None and server not in self._peers:
+            server = self._successors.get(server, server)
         for known, peer in self._peers.items():
             if server in (None, known):
                 peer.post(Release(name, cause))
--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -236,10 +236,11 @@
     stage.play("other send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
 
 
-def test_an_answer_that_crosses_the_replacement_is_released_at_the_new_process() -> None:
+@pytest.mark.parametrize("connection", ["of the old name", "of the new name"])
+def test_an_answer_that_crosses_the_replacement_is_released_at_the_new_process(connection: str) -> None:
     """The release was for the old name, which no server had any more: the call stood without a client."""
     stage = Late()
     stage.play("caller send INVITE u x-cos=small x-timer-ms=2000\n server expect INVITE u")
-    stage.replace()
+    stage.replace(answers_probes=connection == "of the new name")  # which ends the other one
     stage.play("server send 200 INVITE u\n wait 10\n caller send CANCEL u\n wait 100")
     assert [text for text in stage.told() if text.startswith("BYE")][-1].split()[1] == digits("u")
