--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from datetime import datetime
+from datetime import datetime, timedelta
 
 import pytest
 
@@ -244,3 +244,15 @@
     stage.replace(answers_probes=connection == "of the new name")  # which ends the other one
     stage.play("server send 200 INVITE u\n wait 10\n caller send CANCEL u\n wait 100")
     assert [text for text in stage.told() if text.startswith("BYE")][-1].split()[1] == digits("u")
+
+
+def test_a_proof_that_waits_to_be_read_after_a_stall_of_this_process_counts() -> None:
+    """The time for it had passed, and the calls at the new process were cut."""
+    stage = Late()
+    entries = [removed(stage.entry("server")), stage.entry("new", stage.started)]
+    stage.switch.pool_changed(9, i.ListKind.CHANGES, entries)
+    stage.loop.turn(timedelta(0))
+    stage.peers["server"].pump()
+    stage.time.seconds += 0.7
+    stage.play("wait 100\n caller expect BYE c1\n caller send 200 BYE\n other expect nothing")
+    assert stage.switch.call_counts["standing"] == 1
