--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -256,3 +256,11 @@
     stage.time.seconds += 0.7
     stage.play("wait 100\n caller expect BYE c1\n caller send 200 BYE\n other expect nothing")
     assert stage.switch.call_counts["standing"] == 1
+
+
+def test_calls_that_are_not_proven_yet_end_before_this_process_does() -> None:
+    """Nobody would tell their callers any more."""
+    stage = Late()
+    stage.replace(answers_probes=False)
+    stage.call_servers.drop_silent_servers()
+    stage.play("other expect BYE t reason=Q.850;cause=41")
