End the calls that nothing has proven before this process ends

What callers saw (in a test): where the border controller ends within 0.6 s of a replacement, calls that the old process had are never told to be over. Cause: the drop before the end of the process asked for silent servers only. Change: it ends what is not proven as well; the last 32 replaced call servers are kept for that.

--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -163,6 +163,7 @@
 
     def drop_if_silent(self) -> None:
         """At shutdown, drop the calls of a server that left its probe unanswered: nobody else tracks them."""
+        self._replaced.expire()
         if self.established_calls.server.first_probe_at is not None:
             self.established_calls.drop_all("its server is silent and the process ends")
 
--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 from reedmount import interface as i
@@ -13,6 +14,7 @@
 from reedmount.net.loop import Loop
 
 MAX_SUCCESSORS = 256  # releases that wait for their call's end are rare, and come within its deadline
+MAX_REPLACED = 32  # call servers whose calls may not be proven yet; that takes under a second
 
 
 class CallServers:
@@ -30,6 +32,7 @@
         # A release that waits for its caller is not confirmed: the server resends it if this process ends.
         self.has_unsent_release: Callable[[str], bool] = lambda name: False
         self._peers: dict[str, CallServer] = {}
+        self._replaced: deque[CallServer] = deque(maxlen=MAX_REPLACED)  # latest last
         self._successors: dict[str, str] = {}  # of replaced servers, the name of the next one at the address
 
     def servers_changed(self, entries: list[ListedServer]) -> None:
@@ -53,6 +56,7 @@
         for other in self._peers.values():
             if other is not peer and other.address == entry.address:
                 peer.hand_over_calls(other)
+                self._replaced.append(peer)
                 self._successors[peer.name] = other.name
                 if len(self._successors) > MAX_SUCCESSORS:
                     del self._successors[next(iter(self._successors))]
@@ -64,7 +68,7 @@
 
     def drop_silent_servers(self) -> None:
         """Drop the established calls of servers that have not answered a probe."""
-        for peer in self._peers.values():
+        for peer in (*self._replaced, *self._peers.values()):
             peer.drop_if_silent()
 
     def may_open_connection(self) -> bool:
--- a/reedmount/fronts/replaced_process.py
+++ b/reedmount/fronts/replaced_process.py
@@ -52,7 +52,7 @@
             self._server.send_probe(connection)
         loop = self._server.loop
         # After a stall of this process, answers that have arrived are read first.
-        loop.call_later(CONNECTION_PROBE_TIMEOUT, lambda: loop.call_soon(lambda: self._expire(takeover)))
+        loop.call_later(CONNECTION_PROBE_TIMEOUT, lambda: loop.call_soon(lambda: self.expire(takeover)))
         return list(takeover.unproven)
 
     def move_calls(self, names: Sequence[str], successor: EstablishedCalls) -> None:
@@ -74,11 +74,13 @@
         if self._takeover is not None:
             self._end(self._takeover.ended(connection))
 
-    def _expire(self, takeover: Takeover[ServerConnection]) -> None:
-        if self._takeover is takeover:
+    def expire(self, takeover: Takeover[ServerConnection] | None = None) -> None:
+        """End the calls that are not proven, of one takeover or of any."""
+        current = self._takeover
+        if current is not None and takeover in (None, current):
             self._takeover = None
-            self._server.takeover_finished(takeover.connections)
-            self._end(takeover.expire())
+            self._server.takeover_finished(current.connections)
+            self._end(current.expire())
 
     def _end(self, names: list[str]) -> None:
         if names:
