--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -131,13 +131,14 @@
             moved = self._replaced.begin(successor.started)
             self._switch.move_calls(moved, successor.name)
             self._replaced.move_calls(moved, successor.established_calls)
-        ended = self.established_calls.names()
         COUNTERS.add("server.replaced")
-        self.loop.trace("server.replaced", server=self.name, successor=successor.name, ended=len(ended),
-                        moved=len(successor.established_calls), started=stamp(successor.started))  # fmt: skip
+        self.loop.trace("server.replaced", server=self.name, successor=successor.name,
+                        started=stamp(successor.started), ended=len(self.established_calls),
+                        moved=len(successor.established_calls))  # fmt: skip
         if not self.open_connections():
-            for name in ended:
-                successor.post(Release(name, CUT))
+            for name, dialled_at in self.established_calls.dial_times().items():
+                if successor.started is None or dialled_at >= successor.started:
+                    successor.post(Release(name, CUT))
 
     def remember_abandoned(self, name: str) -> None:
         """Release a late answer to an attempt at this address that was given up."""
--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -264,3 +264,13 @@
     stage.replace(answers_probes=False)
     stage.call_servers.drop_silent_servers()
     stage.play("other expect BYE t reason=Q.850;cause=41")
+
+
+def test_a_call_that_no_connection_can_prove_is_released_at_the_new_process() -> None:
+    """With no connection up under the old name only its caller was told. Those of the old one need none."""
+    stage = Late()
+    stage.peers["server"].close(reset=True)
+    stage.loop.turn(timedelta(0))
+    stage.tell(removed(stage.entry("server")), stage.entry("new", stage.started))
+    stage.play("caller expect BYE c1\n other expect BYE t\n wait 10")
+    assert stage.told() == [f"BYE {digits('t')}"]
