SIP front: ask for dialogs a few at a time

Cause: all calls since a new process's start were asked for at once, at a server that is cold. Change: 16 dialogs every 20 ms.

--- a/reedmount/fronts/sip_servers.py
+++ b/reedmount/fronts/sip_servers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from reedmount import interface as i
 from reedmount.core.actors import Actor
@@ -17,6 +18,9 @@
 from reedmount.sip.endpoint import TcpHop
 from reedmount.sip.transaction import Hop
 
+DIALOGS_PER_SLICE = 16  # asked for at once
+DIALOG_SLICE_INTERVAL = timedelta(milliseconds=20)
+
 
 class SipServer:
     """The actor of one call server, which is reached over UDP or TCP."""
@@ -30,6 +34,7 @@
         self.established_legs: dict[str, ServerLeg] = {}
         self.waiting: list[ServerLeg] = []  # for the connection to be established
         self._to_cancel: list[ServerLeg] = []  # their connection was lost: on the next one
+        self._to_ask: deque[ServerLeg] = deque()  # whether the server has their dialogs
         self._hop: TcpHop | None = None
         self._reconnect_timer = RetryTimer(front.loop, self._reconnect)
         self._actor: Actor[Setup | CancelSetup | Release | ListedServer | EndReason] = Actor(
@@ -110,8 +115,19 @@
             leg.release(CUT)
             self.front.switch.call_lost(leg.setup.name, self.entry.server, "its process has ended")
         self._leave_connection_before(instant)
-        for leg in list(self.established_legs.values()):
-            leg.ask_for_dialog()
+        asking = bool(self._to_ask)
+        self._to_ask.extend(self.established_legs.values())
+        if not asking:
+            self._ask_for_dialogs()
+
+    def _ask_for_dialogs(self) -> None:
+        """Ask the server for the dialogs of some calls, a few at a time: it may be cold."""
+        for _ in range(min(DIALOGS_PER_SLICE, len(self._to_ask))):
+            leg = self._to_ask.popleft()
+            if self.established_legs.get(leg.setup.name) is leg:
+                leg.ask_for_dialog()
+        if self._to_ask:
+            self.loop.call_later(DIALOG_SLICE_INTERVAL, self._ask_for_dialogs)
 
     def _leave_connection_before(self, instant: datetime) -> None:
         """Connect anew for what comes, if the connection reaches a process that ended before an instant."""
