--- a/reedmount/core/address_holders.py
+++ b/reedmount/core/address_holders.py
@@ -8,6 +8,7 @@
 
 from dataclasses import replace
 
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.ports import ListedServer
 
 MAX_REPLACED = 4096  # names that the list has not removed yet
@@ -18,7 +19,7 @@
 
     def __init__(self) -> None:
         self._holders: dict[tuple[str, int], ListedServer] = {}
-        self._replaced: dict[str, None] = {}  # oldest first
+        self._replaced = BoundedDict[str, None](MAX_REPLACED)
 
     def resolve(self, entries: list[ListedServer]) -> list[ListedServer]:
         """Return the changed servers of a list, with those that do not hold their address as removed."""
@@ -51,8 +52,6 @@
         self._holders[successor.address] = successor
         self._replaced.pop(successor.server, None)
         self._replaced[holder.server] = None
-        if len(self._replaced) > MAX_REPLACED:
-            del self._replaced[next(iter(self._replaced))]
 
 
 def _removal(entry: ListedServer) -> ListedServer:
--- a/reedmount/core/switch.py
+++ b/reedmount/core/switch.py
@@ -10,6 +10,7 @@
 from reedmount.control import Controller
 from reedmount.core.actors import Actor, Scheduler
 from reedmount.core.address_holders import AddressHolders
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS, invariant, log
 from reedmount.core.clock import ZERO, Clock, micros, span, span_micros, stamp, whole_millis
 from reedmount.core.lifecycle import Lifecycle, Need
@@ -67,7 +68,7 @@
         self._next_number = 1
         self._unknown_release_callbacks: list[Callable[[str, int], None]] = []
         # Names of ended calls, since servers repeat releases and clients set-ups: whether a server had them.
-        self._ended_names: dict[str, bool] = {}
+        self._ended_names = BoundedDict[str, bool](MAX_ENDED_NAMES)
         self._call_memory = 0  # bytes, of all calls
         self._unsent: dict[int, datetime] = {}  # calls with no attempt sent yet, oldest first
         self._reports: dict[str, i.LoadReport] = {}  # of this turn
@@ -321,7 +322,7 @@
         if call is None or not call.is_established:
             if call is None and name not in self._ended_names:
                 # From before a restart: a front may know its caller.
-                self._remember_ended(name, ran=True)
+                self._ended_names[name] = True
                 COUNTERS.add("released.unknown")
                 self._trace("call.released_unknown", call=name, server=server or "-", cause=cause)
                 for callback in self._unknown_release_callbacks:
@@ -549,11 +550,6 @@
         if call.attempt_out is None:
             self._drop(call)
 
-    def _remember_ended(self, name: str, ran: bool) -> None:
-        self._ended_names[name] = ran
-        if len(self._ended_names) > MAX_ENDED_NAMES:
-            del self._ended_names[next(iter(self._ended_names))]
-
     def _discard_unused_class(self, name: str) -> None:
         if name in self._dropped_classes and not any(
             call.offer.call_class == name and not call.settled for call in self._by_number.values()
@@ -570,7 +566,7 @@
             self.recorder.call_forgotten(call.offer.name, call.attempts, call.server)
         for server in sorted(call.release_also_at):
             self._server_side.release(server, call.offer.name, CUT)
-        self._remember_ended(call.offer.name, call.attempts > 0)
+        self._ended_names[call.offer.name] = call.attempts > 0
         self._by_number.pop(call.number, None)
         self._unsent.pop(call.number, None)
         self._discard_unused_class(call.offer.call_class)
--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -9,6 +9,7 @@
 
 from reedmount import interface as i
 from reedmount.core.actors import Actor
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import ZERO, stamp, whole_millis
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
@@ -92,7 +93,8 @@
         self._retired: list[ServerConnection] = []  # get no new set-ups; some may still be open there
         self._max_connections, self._connection_limit = max_connections, max_connections
         self._attempts: dict[str, Attempt] = {}
-        self._abandoned: dict[str, None] = {}  # attempts given up: a late answer is released
+        # Attempts given up: a late answer is released.
+        self._abandoned = BoundedDict[str, None](MAX_REMEMBERED_CALLS)
         # Releases that wait for a connection.
         self._pending_releases: deque[Outgoing] = deque(maxlen=MAX_REMEMBERED_CALLS)
         self.established_calls = EstablishedCalls(self)
@@ -143,8 +145,6 @@
     def remember_abandoned(self, name: str) -> None:
         """Release a late answer to an attempt at this address that was given up."""
         self._abandoned[name] = None
-        if len(self._abandoned) > MAX_REMEMBERED_CALLS:
-            del self._abandoned[next(iter(self._abandoned))]
 
     def takeover_finished(self, connections: Sequence[ServerConnection]) -> None:
         """These connections are not needed any more as a proof of which calls the new process has."""
--- a/reedmount/fronts/call_servers.py
+++ b/reedmount/fronts/call_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from reedmount import interface as i
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS
 from reedmount.core.ports import CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import Switch
@@ -33,7 +34,9 @@
         self.has_unsent_release: Callable[[str], bool] = lambda name: False
         self._peers: dict[str, CallServer] = {}
         self._replaced: deque[CallServer] = deque(maxlen=MAX_REPLACED)  # latest last
-        self._successors: dict[str, str] = {}  # of replaced servers, the name of the next one at the address
+        self._successors = BoundedDict[str, str](
+            MAX_SUCCESSORS
+        )  # of replaced servers, the name of the next one at the address
 
     def servers_changed(self, entries: list[ListedServer]) -> None:
         """Update the actors; that of a server which left the list remains until its calls have ended."""
@@ -58,8 +61,6 @@
                 peer.hand_over_calls(other)
                 self._replaced.append(peer)
                 self._successors[peer.name] = other.name
-                if len(self._successors) > MAX_SUCCESSORS:
-                    del self._successors[next(iter(self._successors))]
 
     def probe_servers(self) -> None:
         """Probe all call servers with established calls."""
--- a/reedmount/fronts/client_connection.py
+++ b/reedmount/fronts/client_connection.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from reedmount.core.actors import Actor
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS, log
 from reedmount.core.clock import whole_millis
 from reedmount.core.ports import NORMAL, Progress
@@ -100,7 +101,9 @@
         self.open: dict[str, Message] = {}
         self._unacked: dict[str, Message] = {}  # answered, and no ACK has come yet
         self._cancelled: set[str] = set()  # of these: the CANCEL crossed the answer
-        self._byes: dict[str, int] = {}  # releases sent here and not yet confirmed
+        self._byes = BoundedDict[str, int](
+            MAX_UNCONFIRMED_RELEASES
+        )  # releases sent here and not yet confirmed
         self.connection = Connection(
             callers.loop,
             sock,
@@ -144,8 +147,6 @@
         """Write a release here and keep it until it is confirmed; confirming is optional, so few are kept."""
         self._byes[name] = cause
         self._callers.loop.trace("release.sent", call=name, link=self.number, cause=cause)
-        if len(self._byes) > MAX_UNCONFIRMED_RELEASES:
-            del self._byes[next(iter(self._byes))]
         self._write(build_bye(name, cause), "out.release")
 
     def awaits_confirmation(self, name: str) -> bool:
@@ -441,6 +442,6 @@
         self._callers.loop.readers.discard(self._read)
         self._callers.remove(self)
         self._abandon_open()
-        byes, self._byes = self._byes, {}
+        byes, self._byes = self._byes, BoundedDict(MAX_UNCONFIRMED_RELEASES)
         for name, cause in byes.items():
             self._callers.release(name, cause, None)
--- a/reedmount/fronts/platform.py
+++ b/reedmount/fronts/platform.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from reedmount.core.background import Slices, Urgency
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS
 from reedmount.core.lifecycle import Need
 from reedmount.core.switch import Switch
@@ -56,9 +57,13 @@
         self._changed_at = loop.clock.now()  # when a connection was last accepted or ended
         self.clients_by_call: dict[str, ClientConnection] = {}  # where established calls were answered
         self._waiting: dict[str, int] = {}  # releases for which no connection is open
-        self._taken_elsewhere: dict[str, None] = {}  # names of calls of the other process of an upgrade
+        self._taken_elsewhere = BoundedDict[str, None](
+            MAX_NAMES_ELSEWHERE
+        )  # names of calls of the other process of an upgrade
         self.listener = Listener(loop, given or bind(address, shared=True), self._accept)
-        self._unconfirmed: dict[str, list[ClientConnection]] = {}  # releases, and where each was sent
+        self._unconfirmed = BoundedDict[str, list[ClientConnection]](
+            MAX_WAITING_RELEASES
+        )  # releases, and where each was sent
         self._confirming = False  # whether clients confirm releases, which is optional
         self._draining = False
         switch.lifecycle.on_change(self._start_drain)
@@ -126,8 +131,6 @@
         """The other process has taken calls: they must not run here as well."""
         for name in message["names"]:
             self._taken_elsewhere[str(name)] = None
-        while len(self._taken_elsewhere) > MAX_NAMES_ELSEWHERE:
-            del self._taken_elsewhere[next(iter(self._taken_elsewhere))]
 
     def _on_bye(self, message: HandoverMessage) -> None:
         """A caller released a call that the other process does not know."""
@@ -203,10 +206,7 @@
 
     def _await_confirmation(self, name: str, cause: int, client: ClientConnection) -> None:
         """Send a release on another connection if it is not confirmed in time: this one may be dead."""
-        tried = self._unconfirmed.setdefault(name, [])
-        tried.append(client)
-        if len(self._unconfirmed) > MAX_WAITING_RELEASES:
-            del self._unconfirmed[next(iter(self._unconfirmed))]
+        self._unconfirmed.setdefault(name, []).append(client)
         self.loop.call_later(CONFIRM_TIMEOUT, lambda: self._check_confirmation(name, cause))
 
     def _check_confirmation(self, name: str, cause: int) -> None:
--- a/reedmount/fronts/server_connection.py
+++ b/reedmount/fronts/server_connection.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from reedmount.core.actors import Timer
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS
 from reedmount.core.liveness import Liveness
 from reedmount.core.ports import Setup
@@ -120,7 +121,8 @@
         self.attempts: dict[str, Attempt] = {}  # queued or sent here, by call name
         self.answered: deque[str] = deque(maxlen=16)  # latest calls answered here; duplicates may follow
         self.partial = False  # a message is partly received, and its timer runs
-        self.releases: dict[str, tuple[datetime, Outgoing]] = {}  # sent and unconfirmed, oldest first
+        # Sent and unconfirmed.
+        self.releases = BoundedDict[str, tuple[datetime, Outgoing]](MAX_UNCONFIRMED_RELEASES)
         self.writing: Callable[[], None] | None = None
         self._clock, self._limits = server.loop.clock, server.limits
         # When a message other than a probe was last sent, or an answer received.
@@ -182,8 +184,6 @@
                 self.mark_used()
             if item.release:
                 self.releases[item.release] = (self._clock.now(), item)
-                if len(self.releases) > MAX_UNCONFIRMED_RELEASES:
-                    del self.releases[next(iter(self.releases))]
             if item.attempt is not None:
                 item.attempt.sent_at = self._clock.now()
             self.transport.send(item.data)
--- a/reedmount/fronts/sip.py
+++ b/reedmount/fronts/sip.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS
 from reedmount.core.clock import ZERO
 from reedmount.core.lifecycle import Need
@@ -215,7 +216,9 @@
         self.legs_by_dialog: dict[dialogs.DialogKey, Leg] = {}
         self.legs_by_name: dict[str, Leg] = {}
         self._by_merge_key: dict[MergeKey, Leg] = {}
-        self._abandoned: dict[MergeKey, None] = {}  # calls that ran when their client's connection was lost
+        self._abandoned = BoundedDict[MergeKey, None](
+            MAX_ABANDONED
+        )  # calls that ran when their client's connection was lost
         self._by_transaction: dict[ServerTransaction, Leg] = {}  # by INVITE transaction, until the leg ends
         self.server_legs: dict[dialogs.DialogKey, ServerSideLeg] = {}
         self.recorder: DialogRecorder | None = None
@@ -425,8 +428,6 @@
         if not self.switch.has_been_sent(leg.name):
             return
         self._abandoned[leg.merge_key] = None
-        if len(self._abandoned) > MAX_ABANDONED:
-            del self._abandoned[next(iter(self._abandoned))]
 
     def _on_hop_lost(self, transactions: list[ServerTransaction]) -> None:
         """Abandon the calls being set up over a lost client connection: their callers cannot be answered."""
