--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -189,6 +189,15 @@
     assert stage.switch.is_idle
 
 
+def test_calls_end_though_others_fill_the_lines_of_the_process_that_took_over() -> None:
+    """Calls of other border controllers made up for the missing ones while discovery was down."""
+    stage = Platform("server")
+    stage.play(ESTABLISH + "wait 2500\n" + ESTABLISH_OTHER + "wait 500\n server close reset\n wait 100")
+    stage.play(report(40) + "\n wait 200\n" + report(20) + "\n wait 1000")
+    stage.play("caller expect BYE c1 reason=Q.850;cause=41\n other expect BYE t reason=Q.850;cause=41")
+    assert stage.switch.is_idle
+
+
 @pytest.mark.parametrize("free", [39, 20])
 def test_a_server_whose_lines_are_in_use_keeps_its_calls_after_a_reset(free: int) -> None:
     stage = Platform("server")
