End a replaced process's calls by the first report, though others fill its lines

Cause: a report with fewer lines in use than calls had to hold for 0.7 s, but calls of other border controllers made up for the missing ones within that time; calls of the last 2 s before the break were never among those that end. Change: a report with half of the calls or fewer is not revoked by later ones; once 0.7 s have passed and more of the counted calls stand than it had lines, all calls from before the break end.

--- a/reedmount/fronts/established_calls.py
+++ b/reedmount/fronts/established_calls.py
@@ -22,6 +22,7 @@
 RECONNECT_INTERVAL = timedelta(seconds=1)
 REPORT_DELAY = timedelta(seconds=2)  # after this, a call is among the lines in use of any report
 CONTRADICTION_PERIOD = timedelta(milliseconds=700)  # releases in transit may explain a low report for so long
+CLEAR_SHARE = 0.5  # of the calls that a report has to include
 
 SILENT = "nothing was received from its server"
 CONNECTION_SILENT = "its connection fell silent"
@@ -38,6 +39,21 @@
     lost_at: datetime | None = None  # when it counts as lost, after its connection fell silent
 
 
+@dataclass(frozen=True, slots=True)
+class Contradiction:
+    """A load report with fewer lines in use than there were established calls."""
+
+    at: datetime
+    lines_in_use: float
+    counted: list[str]  # calls that the report had to include, unless their release was in transit
+    earlier: list[str]  # all calls from before a connection broke
+
+    @property
+    def is_clear(self) -> bool:
+        """Whether releases in transit can't make up for it, nor calls that others set up since then."""
+        return self.lines_in_use <= len(self.counted) * CLEAR_SHARE
+
+
 class CallServerPort(Protocol):
     """What EstablishedCalls needs of the call server's actor."""
 
@@ -69,7 +85,7 @@
         self._check_scheduled = False
         self._checked_at = self._reconnected_at = self._clock.now()
         self._broken_at: datetime | None = None  # when a connection last ended
-        self._contradicted_at: datetime | None = None
+        self._contradiction: Contradiction | None = None
 
     def __bool__(self) -> bool:
         """Whether there is any established call."""
@@ -145,22 +161,27 @@
         connection.liveness.record_received(now)
 
     def check_report(self, report: i.LoadReport) -> None:
-        """Note when, after a broken connection, the server has fewer lines in use than established calls.
+        """Note a report that, after a broken connection, has fewer lines in use than established calls.
 
-        It is a new process then.
+        It is one of a new process then. Later ones prove nothing against a clear one, since others set up
+        calls there as well.
         """
         if report.lines is None or report.free_lines is None:
             return
-        if report.lines - report.free_lines >= len(self._calls_due_in_reports()):
-            self._contradicted_at = None
-        elif self._contradicted_at is None:
-            self._contradicted_at = self._clock.now()
+        in_use, now = report.lines - report.free_lines, self._clock.now()
+        counted = self._calls_before_break(now - REPORT_DELAY)
+        if self._contradiction is not None and self._contradiction.is_clear:
+            return
+        if in_use >= len(counted):
+            self._contradiction = None
+        elif self._contradiction is None:
+            self._contradiction = Contradiction(now, in_use, counted, self._calls_before_break(now))
 
-    def _calls_due_in_reports(self) -> list[str]:
-        """Calls from before a connection broke that any load report has to include."""
+    def _calls_before_break(self, latest: datetime) -> list[str]:
+        """Calls established before a connection broke, and no later than an instant."""
         if self._broken_at is None:
             return []
-        latest = min(self._broken_at, self._clock.now() - REPORT_DELAY)
+        latest = min(self._broken_at, latest)
         return [name for name, call in self._calls.items() if call.established_at <= latest]
 
     def probe_now(self) -> None:
@@ -214,9 +235,10 @@
         calls = self._calls.items()
         lost = [name for name, call in calls if call.lost_at is not None and call.lost_at <= now]
         self.drop(lost, CONNECTION_SILENT)
-        if self._contradicted_at is not None and now - self._contradicted_at >= CONTRADICTION_PERIOD:
-            self._contradicted_at = None
-            self.drop(self._calls_due_in_reports(), TOO_FEW_LINES)
+        if self._contradiction is not None and now - self._contradiction.at >= CONTRADICTION_PERIOD:
+            contradiction, self._contradiction = self._contradiction, None
+            if sum(name in self._calls for name in contradiction.counted) > contradiction.lines_in_use:
+                self.drop(contradiction.earlier, TOO_FEW_LINES)
 
     def _probe_connections(self, now: datetime) -> None:
         connections = self._call_server.open_connections()
