--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import replace
 from datetime import datetime, timedelta
 
@@ -274,3 +275,17 @@
     stage.tell(removed(stage.entry("server")), stage.entry("new", stage.started))
     stage.play("caller expect BYE c1\n other expect BYE t\n wait 10")
     assert stage.told() == [f"BYE {digits('t')}"]
+
+
+def test_calls_go_on_when_the_new_process_has_no_room_for_another_connection_yet() -> None:
+    """It refused the new name's connection as it had those of the old one, and its calls counted as lost."""
+    stage = Late()
+    server = stage.peers["server"]
+    assert server.listener is not None
+    server.listener.close()
+    server.listener = None
+    stage.tell(removed(stage.entry("server")), stage.entry("new", stage.started))
+    stage.play("wait 50")
+    server.listener = socket.create_server((HOST, server.port))
+    stage.play("caller expect BYE c1\n caller send 200 BYE\n wait 1500\n other expect nothing")
+    assert stage.switch.call_counts["standing"] == 1
