Take no refusal for the end of a process that a connection under its old name reaches

What callers saw (in a test): callers of calls at a new process that has no room for one more connection are told that these are over, and they stand there. Cause: the new name's refused connection counted as the end of the process; those of the old name were not looked at. Change: a refusal proves nothing while a connection of the name before is up.

--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -101,7 +101,9 @@
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
         self._reconnect_timer = RetryTimer(loop, self._dial_if_unconnected)
         self._replaced = ReplacedProcess(self)
-        self._successor: CallServer | None = None  # once another process has the address
+        # Of other names at this address: the next one, and the one before until its connections have ended.
+        self._successor: CallServer | None = None
+        self._predecessor: CallServer | None = None
         # When a connection broke on which a release may have been in transit.
         self._releases_at_risk_since: datetime | None = None
         self._replacement_timer, self._replacement_attempts = RetryTimer(loop, self._retry_replacement), 0
@@ -128,7 +130,7 @@
         Those that it may have are moved at once, and end if no connection proves it. The others end as this
         call server is removed.
         """
-        self._successor = successor
+        self._successor, successor._predecessor = successor, self
         if successor.started is not None:
             moved = self._replaced.begin(successor.started)
             self._switch.move_calls(moved, successor.name)
@@ -168,6 +170,12 @@
         if self.established_calls.server.first_probe_at is not None:
             self.established_calls.drop_all("its server is silent and the process ends")
 
+    @property
+    def _is_reachable(self) -> bool:
+        """Whether a connection to the process is up, also under the name that it was reached by before."""
+        before = self._predecessor
+        return bool(self.open_connections() or before is not None and before.open_connections())
+
     # --- CallServerPort, used by EstablishedCalls ---
 
     def open_connections(self) -> list[ServerConnection]:
@@ -310,6 +318,8 @@
             connection.transport.close()
         self._retired.clear()
         self._actor.stop()
+        if self._successor is not None:
+            self._successor._predecessor = None
 
     # --- outgoing messages ---
 
@@ -542,7 +552,7 @@
         if active and (unreachable or short_lived) and others:
             self._connection_limit = max(1, len(self._connections))  # it accepts no more at present
             self.loop.call_later(LIMIT_RESET_AFTER, self._reset_limit)
-        if how is EndReason.REFUSED and active and not self.open_connections() and self.established_calls:
+        if how is EndReason.REFUSED and active and not self._is_reachable and self.established_calls:
             # The server process has ended, and its established calls with it.
             self.established_calls.clear()
             self._switch.server_lost(self._entry.server, "it refuses connections")
--- a/tests/test_server_replacement.py
+++ b/tests/test_server_replacement.py
@@ -281,6 +281,7 @@
     """It refused the new name's connection as it had those of the old one, and its calls counted as lost."""
     stage = Late()
     server = stage.peers["server"]
+    server.answers_probe = lambda message: message.method == "OPTIONS"  # type: ignore[method-assign]
     assert server.listener is not None
     server.listener.close()
     server.listener = None
