Read call servers' messages in a module of its own

Change: framing, wrong lengths and messages that are cut short are in fronts/server_message_reader.py.

--- a/reedmount/fronts/call_server.py
+++ b/reedmount/fronts/call_server.py
@@ -11,7 +11,7 @@
 from reedmount.core.actors import Actor
 from reedmount.core.bounded import BoundedDict
 from reedmount.core.checks import COUNTERS, log
-from reedmount.core.clock import ZERO, stamp, whole_millis
+from reedmount.core.clock import stamp, whole_millis
 from reedmount.core.ports import CUT, CancelSetup, ListedServer, Release, Setup
 from reedmount.core.switch import NO_REPORT, Switch
 from reedmount.fronts.established_calls import EstablishedCalls
@@ -26,6 +26,7 @@
     Outgoing,
     ServerConnection,
 )
+from reedmount.fronts.server_message_reader import ServerMessageReader
 from reedmount.fronts.thin_protocol import (
     CAUSES,
     ID,
@@ -39,11 +40,9 @@
 )
 from reedmount.net.connection import Address, EndReason
 from reedmount.net.loop import Loop
-from reedmount.sip.framing import next_message
 from reedmount.sip.message import Message, SipError, request, response
 
 SILENCE_TIMEOUT = timedelta(seconds=3)  # after this, a connection with a hung set-up is retired
-PARTIAL_MESSAGE_TIMEOUT = timedelta(milliseconds=250)  # without further bytes of a partly received message
 RETIRED_LINGER = timedelta(milliseconds=1500)  # a retired connection still receives what is in transit
 LIMIT_RESET_AFTER = timedelta(seconds=10)  # a server that accepted no more connections is tried again
 MIN_LIFETIME = timedelta(milliseconds=100)  # a server at its limit may accept a connection and close it
@@ -52,7 +51,6 @@
 MAX_CONNECTIONS_PER_SERVER = 8
 RESTARTED = "its process was restarted"
 MAX_REMEMBERED_CALLS = 1024  # abandoned attempts, and releases that wait, for each server
-START_LINES = (b"SIP/2.0 ", b"INVITE ", b"ACK ", b"BYE ", b"CANCEL ", b"OPTIONS ", b"NOTIFY ")
 
 
 class CallServerCollection(Protocol):
@@ -100,6 +98,7 @@
         self.established_calls = EstablishedCalls(self)
         self._answered_sent_at: datetime | None = None  # when the latest set-up that was answered was sent
         self._reconnect_timer = RetryTimer(loop, self._dial_if_unconnected)
+        self._reader = ServerMessageReader(loop, self._dispatch, self._close_malformed)
         self._replaced = ReplacedProcess(self)
         # Of other names at this address: the next one, and the one before until its connections have ended.
         self._successor: CallServer | None = None
@@ -636,34 +635,7 @@
 
     def _read(self, connection: ServerConnection) -> None:
         self.established_calls.received(connection)
-        ring = connection.transport.incoming
-        while not connection.transport.ended:
-            try:
-                message = next_message(ring)
-                if message is None:
-                    break
-                if message.body and len(ring) and not _may_begin(ring.peek(16)):
-                    # A wrong Content-Length: the rest belongs to this message, or part of it to the next.
-                    raise SipError(400, "the message is longer than its Content-Length")
-                self._dispatch(connection, message)
-            except SipError as error:
-                self._close_malformed(connection, str(error))
-                return
-        if len(ring) and not connection.partial:
-            connection.partial = True
-            self.loop.call_later(PARTIAL_MESSAGE_TIMEOUT, lambda: self._check_partial(connection))
-
-    def _check_partial(self, connection: ServerConnection) -> None:
-        """Check whether a partly received message has grown; one timer serves any number of segments."""
-        connection.partial = False
-        if connection.transport.ended or not len(connection.transport.incoming):
-            return
-        left = connection.transport.last_received_at + PARTIAL_MESSAGE_TIMEOUT - self.loop.clock.now()
-        if left <= ZERO:
-            self._close_malformed(connection, "a message was cut short")
-        else:
-            connection.partial = True
-            self.loop.call_later(left, lambda: self._check_partial(connection))
+        self._reader.read(connection)
 
     def _close_malformed(self, connection: ServerConnection, reason: str) -> None:
         """Close a connection whose input cannot be parsed any more."""
@@ -751,9 +723,3 @@
 def _release(name: str, cause: int) -> Outgoing:
     """A release of a call, sent again if its connection ends before it is confirmed."""
     return Outgoing(build_bye(name, cause), "out.server.BYE", release=name)
-
-
-def _may_begin(data: bytes) -> bool:
-    """Whether bytes may be the start of a message."""
-    data = data.lstrip(b"\r\n")
-    return any(line.startswith(data[: len(line)]) for line in START_LINES)
