--- a/standins/soak/history.py
+++ b/standins/soak/history.py
@@ -44,7 +44,8 @@
     wait_s: float
     sent_at: float = NEVER  # when the last byte was written to an accepted connection
     repeatable: bool = True
-    abandoned_at: float = NEVER  # when the client closed the connection or cancelled
+    abandoned_at: float = NEVER  # when the client closed the connection, cancelled or was cut off
+    left_at: float = NEVER  # when the border controller could notice it: the close or the CANCEL was written
     cancelled: bool = False  # by a CANCEL, not by closing the connection
     answers: list[Answer] = field(default_factory=list)
     closed_at: float = NEVER  # the border controller closed the connection while the set-up was open
